--- /dev/null
+++ b/pkg/backend/control.go
@@ -0,0 +1,163 @@
+package backend
+
+import (
+	"context"
+	"slices"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/indigoyoke/indigoyoke/pkg/errcode"
+	"github.com/indigoyoke/indigoyoke/pkg/service"
+	"github.com/indigoyoke/indigoyoke/pkg/wire"
+)
+
+// Action names a control action.
+type Action string
+
+// Control actions a test or operator can drive.
+const (
+	ActSlow    Action = "slow"
+	ActFreeze  Action = "freeze"
+	ActThaw    Action = "thaw"
+	ActRefuse  Action = "refuse"
+	ActHeal    Action = "heal"
+	ActDrain   Action = "drain"
+	ActKill    Action = "kill"
+	ActPublish Action = "publish"
+	ActDrop    Action = "drop"
+)
+
+// Control is the body of a control request. DelayMs and Shards go with
+// slow (no shards: every shard); Index and Snapshot with publish and drop.
+type Control struct {
+	Action   Action   `json:"action"`
+	DelayMs  int      `json:"delay_ms,omitempty"`
+	Shards   []string `json:"shards,omitempty"`
+	Index    string   `json:"index,omitempty"`
+	Snapshot int64    `json:"snapshot,omitempty"`
+}
+
+// Faults are the faults in force.
+type Faults struct {
+	DelayMs    int      `json:"delay_ms,omitempty"`
+	SlowShards []string `json:"slow_shards,omitempty"`
+	Refuse     bool     `json:"refuse,omitempty"`
+	Frozen     bool     `json:"frozen,omitempty"`
+}
+
+func (f Faults) slows(shard string) bool {
+	return len(f.SlowShards) == 0 || slices.Contains(f.SlowShards, shard)
+}
+
+// OnKill sets what the kill action does besides dropping every connection;
+// the process binary exits there.
+func (b *Server) OnKill(f func()) { b.onKill = f }
+
+func (b *Server) handleControl(_ context.Context, c *app.RequestContext) {
+	var ctl Control
+	if err := service.DecodeBody(c, &ctl); err != nil {
+		c.JSON(400, wire.PatchResult{Code: errcode.BadRequest, Message: err.Error()})
+		return
+	}
+	if ctl.Action == ActKill {
+		c.JSON(200, wire.PatchResult{Code: errcode.OK})
+		go b.Kill()
+		return
+	}
+	if err := b.Apply(ctl); err != nil {
+		c.JSON(400, wire.PatchResult{Code: errcode.BadRequest, Message: err.Error()})
+		return
+	}
+	c.JSON(200, b.State())
+}
+
+// Apply carries out a control action other than kill.
+func (b *Server) Apply(ctl Control) error {
+	switch ctl.Action {
+	case ActDrain:
+		b.Drain()
+		return nil
+	case ActKill:
+		b.Kill()
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch ctl.Action {
+	case ActSlow:
+		b.faults.DelayMs, b.faults.SlowShards = ctl.DelayMs, ctl.Shards
+	case ActFreeze:
+		if !b.faults.Frozen {
+			b.faults.Frozen = true
+			b.thawed = make(chan struct{})
+		}
+	case ActThaw:
+		b.thawLocked()
+	case ActRefuse:
+		b.faults.Refuse = true
+	case ActHeal:
+		b.thawLocked()
+		b.faults = Faults{}
+	case ActPublish, ActDrop:
+		l, ok := b.leafs[ctl.Index]
+		if !ok {
+			return errcode.New(errcode.UnknownIndex, "no leaf of index %q", ctl.Index)
+		}
+		if ctl.Action == ActPublish {
+			l.snapshots[ctl.Snapshot] = true
+		} else {
+			delete(l.snapshots, ctl.Snapshot)
+		}
+	default:
+		return errcode.New(errcode.BadRequest, "unknown action %q", ctl.Action)
+	}
+	return nil
+}
+
+func (b *Server) thawLocked() {
+	if b.faults.Frozen {
+		b.faults.Frozen = false
+		close(b.thawed)
+	}
+}
+
+func (b *Server) waitThawed() {
+	b.mu.Lock()
+	ch := b.thawed
+	b.mu.Unlock()
+	<-ch
+}
+
+// Drain marks the server leaving: it refuses new work unrun, says so in
+// every reply, and the platform's instance list learns of it after its lag.
+func (b *Server) Drain() {
+	b.mu.Lock()
+	already := b.draining
+	b.draining = true
+	b.mu.Unlock()
+	if already {
+		return
+	}
+	b.log.Info("draining")
+	b.setHealth("draining")
+	b.announce(wire.InstanceLeaving)
+}
+
+// Kill drops every connection and stops accepting, as a crashed process.
+func (b *Server) Kill() {
+	b.mu.Lock()
+	if b.dead {
+		b.mu.Unlock()
+		return
+	}
+	b.dead = true
+	b.thawLocked()
+	b.mu.Unlock()
+	b.log.Info("killed")
+	_ = b.ln.Close()
+	b.ln.closeAll()
+	_ = b.srv.H.Close()
+	if b.onKill != nil {
+		b.onKill()
+	}
+}
--- /dev/null
+++ b/pkg/backend/leaf.go
@@ -0,0 +1,176 @@
+package backend
+
+import (
+	"context"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/indigoyoke/indigoyoke/pkg/errcode"
+	"github.com/indigoyoke/indigoyoke/pkg/service"
+	"github.com/indigoyoke/indigoyoke/pkg/settings"
+	"github.com/indigoyoke/indigoyoke/pkg/wire"
+)
+
+func (b *Server) handleLeaf(_ context.Context, c *app.RequestContext) {
+	var req wire.LeafRequest
+	if err := service.DecodeBody(c, &req); err != nil {
+		c.JSON(400, wire.LeafResponse{Code: errcode.BadRequest, Message: err.Error()})
+		return
+	}
+	// A frozen process answers nothing until it wakes; it then still holds
+	// the request it read before the freeze.
+	b.waitThawed()
+	b.received.Inc()
+	resp := b.serve(req)
+	resp.RequestID, resp.Shard, resp.Snapshot = req.RequestID, req.Shard, req.Snapshot
+	c.JSON(200, resp)
+}
+
+// serve runs one leaf request and returns its reply. Every refusal before
+// the work starts carries a code whose NotRun is true.
+func (b *Server) serve(req wire.LeafRequest) wire.LeafResponse {
+	deadline := time.UnixMilli(req.DeadlineUnixMs)
+	if code := b.admit(req); code != errcode.OK {
+		return refusal(code, b.isDraining())
+	}
+	if !b.acquire(deadline) {
+		b.shed.Inc()
+		return refusal(errcode.ShardRefused, b.isDraining())
+	}
+	defer b.release()
+	if !b.wait(req.Shard, deadline) {
+		// The caller has given up; starting now would do work nobody reads
+		// and, for a hold, would act after the entry answered "unknown".
+		b.late.Inc()
+		return refusal(errcode.ShardTimeout, b.isDraining())
+	}
+	b.executed.Inc()
+	resp := wire.LeafResponse{Code: errcode.OK, Draining: b.isDraining()}
+	if req.Kind == wire.LeafHold {
+		resp.Held = b.hold(req)
+		return resp
+	}
+	l := b.leafFor(req.Index)
+	resp.Hits = l.search(req.Shard, req.Snapshot, req.Text, req.Limit, b.remaining)
+	return resp
+}
+
+func refusal(code errcode.Code, draining bool) wire.LeafResponse {
+	return wire.LeafResponse{Code: code, Message: code.Name(), Draining: draining}
+}
+
+// admit checks, before any work, that the server takes new work and holds
+// the shard at the pinned snapshot.
+func (b *Server) admit(req wire.LeafRequest) errcode.Code {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	switch {
+	case b.draining, b.faults.Refuse:
+		return errcode.ShardRefused
+	case time.Now().After(time.UnixMilli(req.DeadlineUnixMs)):
+		b.late.Inc()
+		return errcode.ShardTimeout
+	}
+	l, ok := b.leafs[req.Index]
+	if !ok || !l.shards[req.Shard] {
+		return errcode.ShardNotHere
+	}
+	if !l.snapshots[req.Snapshot] {
+		return errcode.SnapshotUnavailable
+	}
+	if req.Kind == wire.LeafHold && req.IdempotencyKey == "" {
+		return errcode.MissingIdempotency
+	}
+	return errcode.OK
+}
+
+func (b *Server) leafFor(index string) *leaf {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.leafs[index]
+}
+
+func (b *Server) isDraining() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.draining
+}
+
+func (b *Server) acquire(deadline time.Time) bool {
+	wait := min(time.Until(deadline), shedWait)
+	if wait <= 0 {
+		return false
+	}
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case b.slots <- struct{}{}:
+		return true
+	case <-t.C:
+		return false
+	}
+}
+
+func (b *Server) release() { <-b.slots }
+
+// wait sleeps for the service time of the request (cold start and the slow
+// fault) and reports whether the deadline still holds after it.
+func (b *Server) wait(shard string, deadline time.Time) bool {
+	d := b.serviceTime(shard)
+	if time.Now().Add(d).After(deadline) {
+		time.Sleep(max(time.Until(deadline), 0))
+		return false
+	}
+	time.Sleep(d)
+	return true
+}
+
+func (b *Server) serviceTime(shard string) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var d time.Duration
+	if cold := settings.Duration(b.set.ColdStartMs); cold > 0 {
+		if left := cold - time.Since(b.started); left > 0 {
+			d += left / 10
+		}
+	}
+	if b.faults.DelayMs > 0 && b.faults.slows(shard) {
+		d += settings.Duration(b.faults.DelayMs)
+	}
+	return d
+}
+
+func (b *Server) remaining(item string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if n, ok := b.beds[item]; ok {
+		return n
+	}
+	return bedsPerItem
+}
+
+// hold takes one bed of the item at most once per idempotency key: a
+// repeated key gets the recorded result back and changes nothing.
+func (b *Server) hold(req wire.LeafRequest) *wire.HoldResult {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if prev, ok := b.holds[req.IdempotencyKey]; ok {
+		b.replayed.Inc()
+		prev.Replayed = true
+		return &prev
+	}
+	left, ok := b.beds[req.Item]
+	if !ok {
+		left = bedsPerItem
+	}
+	res := wire.HoldResult{Item: req.Item, Granted: left > 0}
+	if res.Granted {
+		left--
+	}
+	b.beds[req.Item] = left
+	res.Remaining = left
+	b.holds[req.IdempotencyKey] = res
+	b.holdsRun.Inc()
+	return &res
+}
--- /dev/null
+++ b/pkg/cli/demo.go
@@ -0,0 +1,66 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+
+	"github.com/spf13/cobra"
+	"gopkg.in/yaml.v3"
+
+	"github.com/indigoyoke/indigoyoke/pkg/demo"
+)
+
+// DemoCmd writes the embedded default layout as settings files.
+func DemoCmd() *cobra.Command {
+	var dir, user string
+	var basePort int
+	cmd := &cobra.Command{
+		Use:   "demo",
+		Short: "Write the embedded default installation's settings files for one user",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			port := basePort
+			next := func() string { port++; return "127.0.0.1:" + strconv.Itoa(port-1) }
+			l, err := demo.Build(demo.User(user), next)
+			if err != nil {
+				return err
+			}
+			if err := os.MkdirAll(dir, 0o755); err != nil {
+				return err
+			}
+			if err := write(dir, "platform.yaml", l.Platform); err != nil {
+				return err
+			}
+			for _, b := range l.Backends {
+				if err := write(dir, "backend-"+b.Name+".yaml", b); err != nil {
+					return err
+				}
+			}
+			var entries []string
+			for _, e := range l.Entries {
+				entries = append(entries, e.Listen)
+				if err := write(dir, "entry-"+e.Name+".yaml", e); err != nil {
+					return err
+				}
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "platform=%s entries=%s\n", l.Platform.Listen, strings.Join(entries, ","))
+			return nil
+		},
+	}
+	// --dir receives the files; --user picks lipovec or lakeshore;
+	// --base-port is the first of the consecutive loopback ports used.
+	cmd.Flags().StringVar(&dir, "dir", "demo", "directory for the settings files")
+	cmd.Flags().StringVar(&user, "user", string(demo.Lipovec), "lipovec or lakeshore")
+	cmd.Flags().IntVar(&basePort, "base-port", 17100, "first loopback port")
+	return cmd
+}
+
+func write(dir, name string, v any) error {
+	raw, err := yaml.Marshal(v)
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(dir, name), raw, 0o644)
+}
--- /dev/null
+++ b/pkg/cli/load.go
@@ -0,0 +1,98 @@
+package cli
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/spf13/cobra"
+
+	"github.com/indigoyoke/indigoyoke/pkg/caller"
+	"github.com/indigoyoke/indigoyoke/pkg/wire"
+)
+
+// Histogram range for answer latency, in microseconds.
+const (
+	histMinUs = 1
+	histMaxUs = 60_000_000
+	histSig   = 3
+)
+
+// LoadReport is what a load run measured.
+type LoadReport struct {
+	Requests  int64
+	Errors    int64
+	P50Ms     float64
+	P99Ms     float64
+	P999Ms    float64
+	Coverage  float64
+	ShardsAsk int64
+}
+
+// LoadCmd drives a bounded number of searches at an entry instance.
+func LoadCmd() *cobra.Command {
+	var f clientFlags
+	var text string
+	var requests, concurrency int
+	cmd := &cobra.Command{
+		Use:   "load",
+		Short: "Send a bounded number of searches and print p50/p99/p99.9 and coverage",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cl, err := caller.New(f.app, f.key)
+			if err != nil {
+				return err
+			}
+			req := wire.SearchRequest{Deployment: f.deployment, Index: f.index, Text: text, TimeoutMs: f.timeoutMs}
+			r := RunLoad(cl, f.entry, req, requests, concurrency)
+			fmt.Fprintf(cmd.OutOrStdout(), "requests=%d errors=%d p50_ms=%.2f p99_ms=%.2f p999_ms=%.2f coverage=%.4f\n",
+				r.Requests, r.Errors, r.P50Ms, r.P99Ms, r.P999Ms, r.Coverage)
+			return nil
+		},
+	}
+	f.add(cmd)
+	// --requests bounds the run; --concurrency is the number of callers.
+	cmd.Flags().StringVar(&text, "text", "", "search text")
+	cmd.Flags().IntVar(&requests, "requests", 1000, "searches to send")
+	cmd.Flags().IntVar(&concurrency, "concurrency", 8, "concurrent callers")
+	return cmd
+}
+
+// RunLoad sends n searches from c concurrent callers and measures them.
+func RunLoad(cl *caller.Client, addr string, req wire.SearchRequest, n, c int) LoadReport {
+	h := hdrhistogram.New(histMinUs, histMaxUs, histSig)
+	var mu sync.Mutex
+	var next, errs, covered, asked atomic.Int64
+	var wg sync.WaitGroup
+	for w := 0; w < c; w++ {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for next.Add(1) <= int64(n) {
+				start := time.Now()
+				a, err := cl.Search(context.Background(), addr, req)
+				took := time.Since(start)
+				if err != nil {
+					errs.Add(1)
+					continue
+				}
+				covered.Add(int64(len(a.Covered)))
+				asked.Add(int64(len(a.Covered) + len(a.Missing)))
+				mu.Lock()
+				_ = h.RecordValue(took.Microseconds())
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	r := LoadReport{Requests: int64(n), Errors: errs.Load(), ShardsAsk: asked.Load()}
+	r.P50Ms = float64(h.ValueAtQuantile(50)) / 1000
+	r.P99Ms = float64(h.ValueAtQuantile(99)) / 1000
+	r.P999Ms = float64(h.ValueAtQuantile(99.9)) / 1000
+	if asked.Load() > 0 {
+		r.Coverage = float64(covered.Load()) / float64(asked.Load())
+	}
+	return r
+}
--- /dev/null
+++ b/pkg/cli/ops.go
@@ -0,0 +1,186 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/spf13/cobra"
+	"gopkg.in/yaml.v3"
+
+	"github.com/indigoyoke/indigoyoke/pkg/caller"
+	"github.com/indigoyoke/indigoyoke/pkg/platform"
+	"github.com/indigoyoke/indigoyoke/pkg/service"
+	"github.com/indigoyoke/indigoyoke/pkg/topology"
+	"github.com/indigoyoke/indigoyoke/pkg/wire"
+)
+
+// opTimeout bounds one operator call.
+const opTimeout = 5 * time.Second
+
+func opClient() (*service.Client, error) { return service.NewClient(2, time.Second) }
+
+// PatchCmd submits a patch file against a numbered configuration version.
+func PatchCmd() *cobra.Command {
+	var addr, path string
+	cmd := &cobra.Command{
+		Use:   "patch",
+		Short: "Submit a configuration patch (YAML: base_version, ops) to the configuration service",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			raw, err := os.ReadFile(path)
+			if err != nil {
+				return err
+			}
+			var p topology.Patch
+			dec := yaml.NewDecoder(bytes.NewReader(raw))
+			dec.KnownFields(true)
+			if err := dec.Decode(&p); err != nil {
+				return fmt.Errorf("%s: %w", path, err)
+			}
+			c, err := opClient()
+			if err != nil {
+				return err
+			}
+			var res wire.PatchResult
+			_, err = c.Do(context.Background(), "POST", "http://"+addr+platform.PathPatch, nil, p, &res, time.Now().Add(opTimeout))
+			if err != nil {
+				return err
+			}
+			fmt.Fprintf(cmd.OutOrStdout(), "%s version=%d %s\n", res.Code, res.Version, res.Message)
+			if res.Code.String() != "IY0000" {
+				return fmt.Errorf("patch refused: %s", res.Code)
+			}
+			return nil
+		},
+	}
+	// --platform is the configuration service's host:port; --file the patch.
+	cmd.Flags().StringVar(&addr, "platform", "127.0.0.1:17100", "configuration service host:port")
+	cmd.Flags().StringVar(&path, "file", "patch.yaml", "patch file (YAML)")
+	return cmd
+}
+
+// DumpCmd prints any process's state dump.
+func DumpCmd() *cobra.Command {
+	var addr string
+	cmd := &cobra.Command{
+		Use:   "dump",
+		Short: "Print a process's state (GET /debug/state)",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := opClient()
+			if err != nil {
+				return err
+			}
+			var state json.RawMessage
+			if _, err := c.Do(context.Background(), "GET", "http://"+addr+service.PathState, nil, nil, &state, time.Now().Add(opTimeout)); err != nil {
+				return err
+			}
+			var pretty bytes.Buffer
+			_ = json.Indent(&pretty, state, "", "  ")
+			fmt.Fprintln(cmd.OutOrStdout(), pretty.String())
+			return nil
+		},
+	}
+	// --addr is the process's host:port.
+	cmd.Flags().StringVar(&addr, "addr", "127.0.0.1:17100", "process host:port")
+	return cmd
+}
+
+// ControlCmd sends a fault or control action to a stand-in.
+func ControlCmd() *cobra.Command {
+	var addr, body string
+	cmd := &cobra.Command{
+		Use:   "control",
+		Short: `Send a control action to a stand-in, e.g. --body '{"action":"slow","delay_ms":300}'`,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			c, err := opClient()
+			if err != nil {
+				return err
+			}
+			var out json.RawMessage
+			if _, err := c.Do(context.Background(), "POST", "http://"+addr+"/control", nil, json.RawMessage(body), &out, time.Now().Add(opTimeout)); err != nil {
+				return err
+			}
+			fmt.Fprintln(cmd.OutOrStdout(), string(out))
+			return nil
+		},
+	}
+	// --addr is the stand-in's host:port; --body the JSON control action.
+	cmd.Flags().StringVar(&addr, "addr", "", "stand-in host:port")
+	cmd.Flags().StringVar(&body, "body", `{"action":"heal"}`, "control action (JSON)")
+	return cmd
+}
+
+type clientFlags struct {
+	entry, app, key, deployment, index string
+	timeoutMs                         int
+}
+
+func (f *clientFlags) add(cmd *cobra.Command) {
+	// --entry is the entry instance's host:port; --app and --key the client
+	// application's credentials; --deployment and --index what to query.
+	cmd.Flags().StringVar(&f.entry, "entry", "127.0.0.1:17131", "entry instance host:port")
+	cmd.Flags().StringVar(&f.app, "app", "", "client application ID")
+	cmd.Flags().StringVar(&f.key, "key", "", "client application key")
+	cmd.Flags().StringVar(&f.deployment, "deployment", "", "brand deployment")
+	cmd.Flags().StringVar(&f.index, "index", "", "index")
+	cmd.Flags().IntVar(&f.timeoutMs, "timeout-ms", 0, "caller's timeout in ms (0: the entry's default)")
+}
+
+// SearchCmd sends one search and prints the answer.
+func SearchCmd() *cobra.Command {
+	var f clientFlags
+	var text string
+	var limit int
+	cmd := &cobra.Command{
+		Use:   "search",
+		Short: "Send one search to an entry instance and print the answer with its coverage",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cl, err := caller.New(f.app, f.key)
+			if err != nil {
+				return err
+			}
+			req := wire.SearchRequest{Deployment: f.deployment, Index: f.index, Text: text, Limit: limit, TimeoutMs: f.timeoutMs}
+			a, err := cl.Search(context.Background(), f.entry, req)
+			if err != nil {
+				return err
+			}
+			fmt.Fprint(cmd.OutOrStdout(), caller.Render(a))
+			return nil
+		},
+	}
+	f.add(cmd)
+	cmd.Flags().StringVar(&text, "text", "", "search text")
+	cmd.Flags().IntVar(&limit, "limit", 0, "hits per shard (0: all)")
+	return cmd
+}
+
+// HoldCmd sends one not-repeatable hold and prints the answer.
+func HoldCmd() *cobra.Command {
+	var f clientFlags
+	var shard, item, key string
+	cmd := &cobra.Command{
+		Use:   "hold",
+		Short: "Send one not-repeatable hold (runs at most once per --idempotency-key)",
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			cl, err := caller.New(f.app, f.key)
+			if err != nil {
+				return err
+			}
+			req := wire.HoldRequest{Deployment: f.deployment, Index: f.index, Shard: shard, Item: item, IdempotencyKey: key, TimeoutMs: f.timeoutMs}
+			a, err := cl.Hold(context.Background(), f.entry, req)
+			if err != nil {
+				return err
+			}
+			fmt.Fprint(cmd.OutOrStdout(), caller.Render(a))
+			return nil
+		},
+	}
+	f.add(cmd)
+	cmd.Flags().StringVar(&shard, "shard", "", "shard that owns the item")
+	cmd.Flags().StringVar(&item, "item", "", "item to hold")
+	cmd.Flags().StringVar(&key, "idempotency-key", "", "idempotency key (required)")
+	return cmd
+}
--- /dev/null
+++ b/pkg/demo/cluster.go
@@ -0,0 +1,125 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/indigoyoke/indigoyoke/pkg/backend"
+	"github.com/indigoyoke/indigoyoke/pkg/entry"
+	"github.com/indigoyoke/indigoyoke/pkg/platform"
+	"github.com/indigoyoke/indigoyoke/pkg/service"
+	"github.com/indigoyoke/indigoyoke/pkg/wire"
+)
+
+// Cluster is one user's installation running in this process on loopback
+// listeners: real servers and real HTTP, without child processes.
+type Cluster struct {
+	Layout   *Layout
+	Platform *platform.Server
+	Backends map[string]*backend.Server
+	Entries  map[string]*entry.Entry
+	order    []string
+}
+
+// configWait bounds how long Start waits for every entry instance to read
+// the first configuration.
+const configWait = 5 * time.Second
+
+// loopbackAny binds a free loopback port; the layout learns the real
+// address from the listener, so no port is guessed and raced for.
+func loopbackAny() string { return "127.0.0.1:0" }
+
+// StartCluster starts user u's installation in this process, with logs to
+// logs, and waits until every entry instance has a configuration. Backend
+// servers bind first, the platform then publishes their real addresses,
+// and entry instances are pointed at the platform's.
+func StartCluster(u User, logs io.Writer) (*Cluster, error) {
+	l, err := Build(u, loopbackAny)
+	if err != nil {
+		return nil, err
+	}
+	c := &Cluster{Layout: l, Backends: map[string]*backend.Server{}, Entries: map[string]*entry.Entry{}}
+	report := func(i wire.Instance) { c.Platform.Report(i) }
+	for i := range l.Backends {
+		s := &l.Backends[i]
+		b, err := backend.New(s, logger(logs, "backend", s.Name, s.Zone), report)
+		if err != nil {
+			return nil, err
+		}
+		c.Backends[s.Name] = b
+		l.Platform.Configuration.Backends[i].Addr = b.Addr()
+	}
+	if c.Platform, err = platform.New(&l.Platform); err != nil {
+		return nil, err
+	}
+	c.Platform.Start()
+	for _, b := range c.Backends {
+		b.Start()
+	}
+	for i := range l.Entries {
+		s := &l.Entries[i]
+		s.Platform = c.Platform.Addr()
+		e, err := entry.New(s, logger(logs, "entry", s.Name, s.Zone))
+		if err != nil {
+			return nil, err
+		}
+		e.Start()
+		c.Entries[s.Name] = e
+		c.order = append(c.order, s.Name)
+	}
+	return c, c.WaitVersion(l.Platform.Configuration.Version, configWait)
+}
+
+func logger(w io.Writer, process, name, zone string) *service.Log {
+	log := service.Logger(process, name, zone)
+	log.Logger.SetOutput(w)
+	return log
+}
+
+// EntryNames lists the entry instances in layout order.
+func (c *Cluster) EntryNames() []string { return c.order }
+
+// WaitVersion waits until every entry instance has configuration version v
+// or newer in force.
+func (c *Cluster) WaitVersion(v int64, within time.Duration) error {
+	end := time.Now().Add(within)
+	for time.Now().Before(end) {
+		if c.minVersion() >= v {
+			return nil
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	return fmt.Errorf("entry instances at v%d after %s, want v%d", c.minVersion(), within, v)
+}
+
+func (c *Cluster) minVersion() int64 {
+	lowest := int64(-1)
+	for _, e := range c.Entries {
+		if v := e.Watcher().Version(); lowest < 0 || v < lowest {
+			lowest = v
+		}
+	}
+	return lowest
+}
+
+// Stop stops entry instances first, then backend servers, then the
+// platform, each gracefully.
+func (c *Cluster) Stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	var wg sync.WaitGroup
+	for _, e := range c.Entries {
+		wg.Add(1)
+		go func() { defer wg.Done(); _ = e.Stop(ctx) }()
+	}
+	wg.Wait()
+	for _, b := range c.Backends {
+		wg.Add(1)
+		go func() { defer wg.Done(); _ = b.Stop(ctx) }()
+	}
+	wg.Wait()
+	_ = c.Platform.Stop(ctx)
+}
--- /dev/null
+++ b/pkg/entry/handlers.go
@@ -0,0 +1,154 @@
+package entry
+
+import (
+	"context"
+	"crypto/subtle"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/cloudwego/hertz/pkg/app"
+
+	"github.com/indigoyoke/indigoyoke/pkg/errcode"
+	"github.com/indigoyoke/indigoyoke/pkg/service"
+	"github.com/indigoyoke/indigoyoke/pkg/settings"
+	"github.com/indigoyoke/indigoyoke/pkg/topology"
+	"github.com/indigoyoke/indigoyoke/pkg/wire"
+)
+
+func (e *Entry) routes() {
+	e.srv.H.POST(PathSearch, e.handleSearch)
+	e.srv.H.POST(PathHold, e.handleHold)
+	e.srv.H.GET(service.PathHealth, e.handleHealth)
+}
+
+func (e *Entry) handleHealth(_ context.Context, c *app.RequestContext) {
+	h := wire.Health{Name: e.set.Name, State: "live", InFlight: e.inFlight.Load()}
+	status := 200
+	if e.state.Load() != stateServing {
+		h.State, status = "leaving", 503
+	}
+	c.JSON(status, h)
+}
+
+// call is what every request shares once admitted: its ID, the pinned
+// configuration, the authenticated client application and the deadline.
+type call struct {
+	id       string
+	cfg      *topology.Config
+	dep      *topology.Deployment
+	index    *topology.Index
+	deadline time.Time
+}
+
+func (e *Entry) handleSearch(ctx context.Context, c *app.RequestContext) {
+	var req wire.SearchRequest
+	if err := service.DecodeBody(c, &req); err != nil {
+		e.reply(c, PathSearch, e.refusal("", errcode.BadRequest, err.Error()))
+		return
+	}
+	cl, ans := e.admit(c, req.Deployment, req.Index, req.TimeoutMs, false)
+	if ans != nil {
+		e.reply(c, PathSearch, *ans)
+		return
+	}
+	defer e.inFlight.Add(-1)
+	e.reply(c, PathSearch, e.search(ctx, cl, req))
+}
+
+func (e *Entry) handleHold(ctx context.Context, c *app.RequestContext) {
+	var req wire.HoldRequest
+	if err := service.DecodeBody(c, &req); err != nil {
+		e.reply(c, PathHold, e.refusal("", errcode.BadRequest, err.Error()))
+		return
+	}
+	if k := string(c.GetHeader(wire.HeaderIdempotencyKey)); k != "" {
+		req.IdempotencyKey = k
+	}
+	if req.IdempotencyKey == "" {
+		e.reply(c, PathHold, e.refusal("", errcode.MissingIdempotency, "send an Idempotency-Key"))
+		return
+	}
+	cl, ans := e.admit(c, req.Deployment, req.Index, req.TimeoutMs, true)
+	if ans != nil {
+		e.reply(c, PathHold, *ans)
+		return
+	}
+	defer e.inFlight.Add(-1)
+	e.reply(c, PathHold, e.hold(ctx, cl, req))
+}
+
+// admit authenticates the client application and checks that the request
+// can run here; on refusal it returns the final answer, which is "not run".
+// On success the request counts as in flight.
+func (e *Entry) admit(c *app.RequestContext, deployment, index string, timeoutMs int, holds bool) (*call, *wire.Answer) {
+	id := e.newID()
+	if e.state.Load() == stateStopping {
+		return nil, ptr(e.refusal(id, errcode.EntryDraining, "entry instance is stopping"))
+	}
+	cfg := e.watcher.Current()
+	if cfg == nil {
+		return nil, ptr(e.refusal(id, errcode.NoConfiguration, "no configuration yet"))
+	}
+	dep, ok := cfg.Deployment(deployment)
+	if !ok {
+		return nil, ptr(e.refusal(id, errcode.UnknownDeployment, deployment))
+	}
+	app, ok := dep.Client(string(c.GetHeader(wire.HeaderClientID)))
+	if !ok || subtle.ConstantTimeCompare([]byte(app.Key), c.GetHeader(wire.HeaderClientKey)) != 1 {
+		return nil, ptr(e.refusal(id, errcode.UnknownClient, "client application not known to this deployment"))
+	}
+	ix, ok := dep.Index(index)
+	if !ok {
+		return nil, ptr(e.refusal(id, errcode.UnknownIndex, index))
+	}
+	if !app.May(index) || (holds && !app.Holds) {
+		return nil, ptr(e.refusal(id, errcode.NotAuthorised, index))
+	}
+	timeout, code := e.timeout(timeoutMs)
+	if code != errcode.OK {
+		return nil, ptr(e.refusal(id, code, "timeout_ms below the minimum"))
+	}
+	if e.inFlight.Add(1) > int64(e.set.MaxInFlight) {
+		e.inFlight.Add(-1)
+		e.m.shed.Inc()
+		return nil, ptr(e.refusal(id, errcode.EntryOverloaded, "too many requests in flight"))
+	}
+	return &call{id: id, cfg: cfg, dep: dep, index: ix, deadline: time.Now().Add(timeout)}, nil
+}
+
+func (e *Entry) timeout(ms int) (time.Duration, errcode.Code) {
+	switch {
+	case ms == 0:
+		return settings.Duration(e.set.DefaultTimeoutMs), errcode.OK
+	case ms < e.set.MinTimeoutMs:
+		return 0, errcode.DeadlineTooShort
+	}
+	return settings.Duration(min(ms, e.set.MaxTimeoutMs)), errcode.OK
+}
+
+// refusal builds the final answer for a request that did not run. Codes
+// that are about load or lifecycle carry a hint of when to come back.
+func (e *Entry) refusal(id string, code errcode.Code, msg string) wire.Answer {
+	a := wire.Answer{RequestID: id, Code: code, Message: msg}
+	switch code {
+	case errcode.EntryOverloaded, errcode.EntryDraining, errcode.NoConfiguration:
+		a.RetryAfterMs = e.set.RetryAfterMs
+	}
+	return a
+}
+
+func (e *Entry) reply(c *app.RequestContext, path string, a wire.Answer) {
+	code := a.Code
+	e.m.answered(path, code)
+	if a.RetryAfterMs > 0 {
+		c.Header(wire.HeaderRetryAfter, strconv.Itoa((a.RetryAfterMs+999)/1000))
+	}
+	c.JSON(code.HTTPStatus(), a)
+}
+
+func (e *Entry) newID() string {
+	return fmt.Sprintf("%s-%d", e.set.Name, e.seq.Add(1))
+}
+
+func ptr[T any](v T) *T { return &v }
--- /dev/null
+++ b/pkg/entry/tables.go
@@ -0,0 +1,161 @@
+package entry
+
+import (
+	"sort"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/indigoyoke/indigoyoke/pkg/topology"
+)
+
+// Backend health bookkeeping.
+const (
+	downAfterFailures = 2
+	downCooldown      = time.Second
+	ewmaWeight        = 0.2
+)
+
+// backendRow is the entry instance's view of one backend server.
+type backendRow struct {
+	Name         string    `json:"name"`
+	Zone         string    `json:"zone"`
+	Addr         string    `json:"addr"`
+	Leaving      bool      `json:"leaving"`
+	LeavingSince time.Time `json:"leaving_since,omitzero"`
+	Failures     int       `json:"failures"`
+	DownUntil    time.Time `json:"down_until,omitzero"`
+	LatencyMs    float64   `json:"latency_ms"`
+	InFlight     int64     `json:"in_flight"`
+	inFlight     atomic.Int64
+}
+
+// backendTable holds one row per backend server of the configuration in
+// force. Systems in tick.go refresh it; the fan-out reads it.
+type backendTable struct {
+	mu      sync.Mutex
+	rows    map[string]*backendRow
+	version int64
+}
+
+func newBackendTable() *backendTable {
+	return &backendTable{rows: map[string]*backendRow{}}
+}
+
+// sync makes the rows match the backend servers of cfg, keeping what is
+// known of servers that stay.
+func (t *backendTable) sync(cfg *topology.Config) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if cfg == nil || cfg.Version == t.version {
+		return false
+	}
+	t.version = cfg.Version
+	keep := map[string]bool{}
+	for _, b := range cfg.Backends {
+		keep[b.Name] = true
+		row, ok := t.rows[b.Name]
+		if !ok {
+			row = &backendRow{Name: b.Name}
+			t.rows[b.Name] = row
+		}
+		row.Zone, row.Addr = b.Zone, b.Addr
+	}
+	for name := range t.rows {
+		if !keep[name] {
+			delete(t.rows, name)
+		}
+	}
+	return true
+}
+
+// candidate is a leaf the fan-out may send to.
+type candidate struct {
+	row  *backendRow
+	addr string
+}
+
+// candidates orders the usable leafs of a shard: own zone first, then
+// fewest requests in flight, then lowest measured latency, then name.
+// Leaving servers and servers marked down are left out.
+func (t *backendTable) candidates(leafs []string, zone string, now time.Time) []candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]candidate, 0, len(leafs))
+	for _, name := range leafs {
+		row, ok := t.rows[name]
+		if !ok || row.Leaving || now.Before(row.DownUntil) {
+			continue
+		}
+		out = append(out, candidate{row: row, addr: row.Addr})
+	}
+	sort.SliceStable(out, func(i, j int) bool {
+		a, b := out[i].row, out[j].row
+		if (a.Zone == zone) != (b.Zone == zone) {
+			return a.Zone == zone
+		}
+		if x, y := a.inFlight.Load(), b.inFlight.Load(); x != y {
+			return x < y
+		}
+		if a.LatencyMs != b.LatencyMs {
+			return a.LatencyMs < b.LatencyMs
+		}
+		return a.Name < b.Name
+	})
+	return out
+}
+
+// observe records the outcome of one call to a backend server.
+func (t *backendTable) observe(row *backendRow, took time.Duration, ok bool, leaving bool, now time.Time) (becameLeaving bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if ok {
+		row.Failures = 0
+		ms := float64(took) / float64(time.Millisecond)
+		row.LatencyMs = row.LatencyMs*(1-ewmaWeight) + ms*ewmaWeight
+	} else {
+		row.Failures++
+		if row.Failures >= downAfterFailures {
+			row.DownUntil = now.Add(downCooldown)
+		}
+	}
+	if leaving && !row.Leaving {
+		row.Leaving, row.LeavingSince = true, now
+		return true
+	}
+	return false
+}
+
+// markLeaving records what the platform's instance list says. The list
+// lags: a server that told us itself that it is leaving would be shown live
+// again by an old row, so a leaving mark is cleared only once it is older
+// than hold.
+func (t *backendTable) markLeaving(name string, leaving bool, now time.Time, hold time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	row, ok := t.rows[name]
+	if !ok || row.Leaving == leaving {
+		return false
+	}
+	if !leaving && now.Sub(row.LeavingSince) < hold {
+		return false
+	}
+	row.Leaving = leaving
+	row.LeavingSince = now
+	return true
+}
+
+// dump copies the rows for the state dump.
+func (t *backendTable) dump() []backendRow {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]backendRow, 0, len(t.rows))
+	for _, r := range t.rows {
+		out = append(out, backendRow{
+			Name: r.Name, Zone: r.Zone, Addr: r.Addr, Leaving: r.Leaving, LeavingSince: r.LeavingSince,
+			Failures: r.Failures, DownUntil: r.DownUntil, LatencyMs: r.LatencyMs, InFlight: r.inFlight.Load(),
+		})
+	}
+	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
+	return out
+}
--- /dev/null
+++ b/pkg/errcode/errcode.go
@@ -0,0 +1,157 @@
+// Package errcode owns the numbered result codes that every indigoyoke
+// process returns to its callers and writes into answers.
+//
+// A code is printed as "IY" followed by four digits. The first digit names the
+// family: 0 success, 1 the caller's request was refused before anything ran,
+// 2 the entry instance refused the request before anything ran, 3 a shard was
+// not covered, 4 the outcome of a not-repeatable request is unknown or
+// replayed, 5 configuration and settings. The table in docs/ERRORS.md is the
+// published list and is checked against this file by a test.
+package errcode
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/joomcode/errorx"
+)
+
+// Code is a numbered result code. The zero value is OK.
+type Code int
+
+// The result codes. Their numbers are part of the public interface and never
+// change meaning once published.
+const (
+	OK Code = 0
+
+	UnknownClient       Code = 1001
+	NotAuthorised       Code = 1002
+	UnknownIndex        Code = 1003
+	BadRequest          Code = 1004
+	MissingIdempotency  Code = 1005
+	UnknownDeployment   Code = 1006
+	UnknownShard        Code = 1007
+	DeadlineTooShort    Code = 1008
+	EntryOverloaded     Code = 2001
+	EntryDraining       Code = 2002
+	NoConfiguration     Code = 2003
+	ShardTimeout        Code = 3001
+	ShardUnavailable    Code = 3002
+	ShardRefused        Code = 3003
+	SnapshotUnavailable Code = 3004
+	ShardFailed         Code = 3005
+	ShardNotHere        Code = 3006
+	OutcomeUnknown      Code = 4001
+	Replayed            Code = 4002
+	SettingsInvalid     Code = 5001
+	PatchConflict       Code = 5002
+	PatchInvalid        Code = 5003
+	PlatformUnavailable Code = 5004
+	PlatformRateLimited Code = 5005
+)
+
+type info struct {
+	name   string
+	notRun bool
+	status int
+}
+
+var table = map[Code]info{
+	OK:                  {"ok", false, 200},
+	UnknownClient:       {"unknown client application", true, 401},
+	NotAuthorised:       {"client application not authorised for this index", true, 403},
+	UnknownIndex:        {"unknown index", true, 404},
+	BadRequest:          {"malformed request", true, 400},
+	MissingIdempotency:  {"not-repeatable request without idempotency key", true, 400},
+	UnknownDeployment:   {"unknown brand deployment", true, 404},
+	UnknownShard:        {"unknown shard", true, 404},
+	DeadlineTooShort:    {"deadline too short to run", true, 400},
+	EntryOverloaded:     {"entry instance overloaded", true, 503},
+	EntryDraining:       {"entry instance is stopping", true, 503},
+	NoConfiguration:     {"entry instance has no configuration yet", true, 503},
+	ShardTimeout:        {"shard did not answer before the deadline", false, 200},
+	ShardUnavailable:    {"no reachable leaf for the shard", true, 200},
+	ShardRefused:        {"backend server refused: not run", true, 200},
+	SnapshotUnavailable: {"pinned snapshot not held by any reachable leaf", true, 200},
+	ShardFailed:         {"backend server failed the request", false, 200},
+	ShardNotHere:        {"backend server does not hold the shard: not run", true, 200},
+	OutcomeUnknown:      {"not-repeatable request sent, outcome unknown", false, 504},
+	Replayed:            {"answer replayed for a repeated idempotency key", false, 200},
+	SettingsInvalid:     {"settings invalid", true, 0},
+	PatchConflict:       {"patch base version is not the current version", true, 409},
+	PatchInvalid:        {"patch refused: result would be invalid", true, 422},
+	PlatformUnavailable: {"configuration service unavailable", true, 503},
+	PlatformRateLimited: {"configuration service read rate exceeded", true, 429},
+}
+
+// String renders the code as IYnnnn.
+func (c Code) String() string { return fmt.Sprintf("IY%04d", int(c)) }
+
+// Name is the one-line meaning from the published table.
+func (c Code) Name() string { return table[c].name }
+
+// NotRun reports whether a request that got this code is guaranteed not to
+// have run anywhere. Only such codes make a retry of a not-repeatable
+// request safe.
+func (c Code) NotRun() bool { return table[c].notRun }
+
+// HTTPStatus is the status an entry instance answers with for this code.
+func (c Code) HTTPStatus() int { return table[c].status }
+
+// Known reports whether c is in the published table.
+func (c Code) Known() bool {
+	_, ok := table[c]
+	return ok
+}
+
+// All lists every published code in ascending order.
+func All() []Code {
+	out := make([]Code, 0, len(table))
+	for c := range table {
+		out = append(out, c)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Namespace holds every error that carries a result code.
+var Namespace = errorx.NewNamespace("indigoyoke")
+
+var (
+	errType  = Namespace.NewType("result")
+	codeProp = errorx.RegisterPrintableProperty("code")
+)
+
+// New returns an error carrying code c and a message.
+func New(c Code, format string, args ...any) *errorx.Error {
+	return errType.New(format, args...).WithProperty(codeProp, c)
+}
+
+// Of extracts the result code from err; errors without one map to
+// ShardFailed, and nil maps to OK.
+func Of(err error) Code {
+	if err == nil {
+		return OK
+	}
+	if ex := errorx.Cast(err); ex != nil {
+		if v, ok := ex.Property(codeProp); ok {
+			if c, ok := v.(Code); ok {
+				return c
+			}
+		}
+	}
+	return ShardFailed
+}
+
+// MarshalText renders the code as IYnnnn in JSON and YAML.
+func (c Code) MarshalText() ([]byte, error) { return []byte(c.String()), nil }
+
+// UnmarshalText parses IYnnnn.
+func (c *Code) UnmarshalText(b []byte) error {
+	var n int
+	if _, err := fmt.Sscanf(string(b), "IY%04d", &n); err != nil {
+		return fmt.Errorf("result code %q: %w", b, err)
+	}
+	*c = Code(n)
+	return nil
+}
--- /dev/null
+++ b/pkg/platform/watch.go
@@ -0,0 +1,133 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+
+	"github.com/indigoyoke/indigoyoke/pkg/service"
+	"github.com/indigoyoke/indigoyoke/pkg/topology"
+	"github.com/indigoyoke/indigoyoke/pkg/wire"
+)
+
+// Watch timing.
+const (
+	watchTimeout   = 5 * time.Second
+	backoffInitial = 100 * time.Millisecond
+	backoffMax     = 2 * time.Second
+)
+
+// Watcher keeps the newest deployment configuration an entry instance has
+// seen, by a long-poll watch against the configuration service. It writes
+// nothing to the service.
+type Watcher struct {
+	addr    string
+	client  *service.Client
+	log     *logrus.Entry
+	current atomic.Pointer[topology.Config]
+	onApply func(*topology.Config)
+	applied *metrics.Counter
+	ignored *metrics.Counter
+	failed  *metrics.Counter
+}
+
+// NewWatcher builds a watcher of the configuration service at addr.
+func NewWatcher(addr string, set *metrics.Set, log *logrus.Entry) (*Watcher, error) {
+	c, err := service.NewClient(2, time.Second)
+	if err != nil {
+		return nil, err
+	}
+	return &Watcher{
+		addr:    addr,
+		client:  c,
+		log:     log,
+		applied: set.NewCounter("config_versions_applied_total"),
+		ignored: set.NewCounter("config_versions_ignored_total"),
+		failed:  set.NewCounter("config_watch_failures_total"),
+	}, nil
+}
+
+// OnApply sets a function called with each new configuration before it is
+// put in force, so tables derived from it are ready when the first request
+// pins it.
+func (w *Watcher) OnApply(f func(*topology.Config)) { w.onApply = f }
+
+// Current is the configuration in force, or nil before the first read.
+func (w *Watcher) Current() *topology.Config { return w.current.Load() }
+
+// Version is the version in force, 0 before the first read.
+func (w *Watcher) Version() int64 {
+	if c := w.current.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// Run watches until ctx ends.
+func (w *Watcher) Run(ctx context.Context) {
+	backoff := backoffInitial
+	for ctx.Err() == nil {
+		cfg, err := w.watch(ctx, w.Version())
+		if err != nil {
+			w.failed.Inc()
+			sleep(ctx, backoff)
+			backoff = min(backoff*2, backoffMax)
+			continue
+		}
+		backoff = backoffInitial
+		w.Offer(cfg)
+	}
+}
+
+// Offer puts cfg in force if it differs from the one in force, and reports
+// whether it did.
+func (w *Watcher) Offer(cfg *topology.Config) bool {
+	old := w.current.Load()
+	if old != nil && cfg.Version == old.Version {
+		w.ignored.Inc()
+		return false
+	}
+	if w.onApply != nil {
+		w.onApply(cfg)
+	}
+	w.current.Store(cfg)
+	w.applied.Inc()
+	w.log.WithField("version", cfg.Version).Info("configuration in force")
+	return true
+}
+
+func (w *Watcher) watch(ctx context.Context, after int64) (*topology.Config, error) {
+	url := fmt.Sprintf("http://%s%s?after=%d&timeout_ms=%d", w.addr, PathWatch, after, watchTimeout.Milliseconds())
+	var reply wire.ConfigReply
+	status, err := w.client.Do(ctx, "GET", url, nil, nil, &reply, time.Now().Add(watchTimeout+time.Second))
+	if err != nil {
+		return nil, err
+	}
+	if status != 200 || reply.Config == nil {
+		return nil, fmt.Errorf("watch: status %d", status)
+	}
+	return reply.Config, nil
+}
+
+// Instances reads the platform's instance list.
+func Instances(ctx context.Context, c *service.Client, addr string) (wire.InstanceList, error) {
+	var list wire.InstanceList
+	status, err := c.Do(ctx, "GET", "http://"+addr+PathInstances, nil, nil, &list, time.Now().Add(time.Second))
+	if err == nil && status != 200 {
+		err = fmt.Errorf("instances: status %d", status)
+	}
+	return list, err
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,279 @@
+// Package settings owns the YAML settings of each indigoyoke process: the
+// entry instance, the backend server stand-in and the platform stand-in.
+// Load reads a file, refuses unknown fields, fills defaults and checks every
+// value; a bad value is an error carrying errcode.SettingsInvalid that names
+// the field, so a process never starts half-configured.
+package settings
+
+import (
+	"bytes"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"gopkg.in/yaml.v3"
+
+	"github.com/indigoyoke/indigoyoke/pkg/errcode"
+	"github.com/indigoyoke/indigoyoke/pkg/topology"
+)
+
+// Entry holds an entry instance's settings. Durations are in milliseconds.
+type Entry struct {
+	Name             string `yaml:"name"`
+	Zone             string `yaml:"zone"`
+	Listen           string `yaml:"listen"`
+	Platform         string `yaml:"platform"`
+	Workers          int    `yaml:"workers"`
+	MaxInFlight      int    `yaml:"max_in_flight"`
+	ConnsPerBackend  int    `yaml:"conns_per_backend"`
+	DefaultTimeoutMs int    `yaml:"default_timeout_ms"`
+	MaxTimeoutMs     int    `yaml:"max_timeout_ms"`
+	MinTimeoutMs     int    `yaml:"min_timeout_ms"`
+	TickMs           int    `yaml:"tick_ms"`
+	DrainGraceMs     int    `yaml:"drain_grace_ms"`
+	RetryAfterMs     int    `yaml:"retry_after_ms"`
+	LeavingHoldMs    int    `yaml:"leaving_hold_ms"`
+}
+
+// Backend holds a backend server stand-in's settings.
+type Backend struct {
+	Name        string            `yaml:"name"`
+	Zone        string            `yaml:"zone"`
+	Listen      string            `yaml:"listen"`
+	Platform    string            `yaml:"platform"`
+	Slots       int               `yaml:"slots"`
+	MaxConns    int               `yaml:"max_conns"`
+	ColdStartMs int               `yaml:"cold_start_ms"`
+	HealthLagMs int               `yaml:"health_lag_ms"`
+	DrainMs     int               `yaml:"drain_ms"`
+	Leafs       []BackendLeafSpec `yaml:"leafs"`
+}
+
+// BackendLeafSpec lists the shards of one index that a backend server holds,
+// the snapshot versions it holds for them and the data set it fakes.
+type BackendLeafSpec struct {
+	Index     string   `yaml:"index"`
+	Shards    []string `yaml:"shards"`
+	Snapshots []int64  `yaml:"snapshots"`
+	Dataset   string   `yaml:"dataset"`
+}
+
+// Platform holds the platform stand-in's settings and the initial deployment
+// configuration it publishes.
+type Platform struct {
+	Listen         string          `yaml:"listen"`
+	ReadsPerSecond int             `yaml:"reads_per_second"`
+	InstanceLagMs  int             `yaml:"instance_lag_ms"`
+	WatchTimeoutMs int             `yaml:"watch_timeout_ms"`
+	Configuration  topology.Config `yaml:"configuration"`
+}
+
+// Defaults for fields left out.
+const (
+	defaultWorkers       = 256
+	defaultMaxInFlight   = 512
+	defaultConns         = 16
+	defaultTimeoutMs     = 200
+	defaultMaxTimeoutMs  = 30000
+	defaultMinTimeoutMs  = 5
+	defaultTickMs        = 100
+	defaultDrainGraceMs  = 500
+	defaultRetryAfterMs  = 250
+	defaultLeavingHoldMs = 2000
+	defaultSlots         = 2
+	defaultMaxConns      = 25
+	defaultReadsPerSec   = 2000
+	defaultWatchTimeout  = 5000
+)
+
+// Datasets a backend server stand-in can fake.
+const (
+	DatasetParts = "parts"
+	DatasetBeds  = "beds"
+)
+
+// LoadEntry reads and checks an entry instance's settings file.
+func LoadEntry(path string) (*Entry, error) {
+	var s Entry
+	if err := decode(path, &s); err != nil {
+		return nil, err
+	}
+	return &s, s.Check()
+}
+
+// LoadBackend reads and checks a backend server stand-in's settings file.
+func LoadBackend(path string) (*Backend, error) {
+	var s Backend
+	if err := decode(path, &s); err != nil {
+		return nil, err
+	}
+	return &s, s.Check()
+}
+
+// LoadPlatform reads and checks the platform stand-in's settings file.
+func LoadPlatform(path string) (*Platform, error) {
+	var s Platform
+	if err := decode(path, &s); err != nil {
+		return nil, err
+	}
+	return &s, s.Check()
+}
+
+func decode(path string, out any) error {
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return errcode.New(errcode.SettingsInvalid, "read %s: %v", path, err)
+	}
+	dec := yaml.NewDecoder(bytes.NewReader(raw))
+	dec.KnownFields(true)
+	if err := dec.Decode(out); err != nil {
+		return errcode.New(errcode.SettingsInvalid, "%s: %v", path, err)
+	}
+	return nil
+}
+
+// Check fills defaults and validates every field.
+func (s *Entry) Check() error {
+	fillInt(&s.Workers, defaultWorkers)
+	fillInt(&s.MaxInFlight, defaultMaxInFlight)
+	fillInt(&s.ConnsPerBackend, defaultConns)
+	fillInt(&s.DefaultTimeoutMs, defaultTimeoutMs)
+	fillInt(&s.MaxTimeoutMs, defaultMaxTimeoutMs)
+	fillInt(&s.MinTimeoutMs, defaultMinTimeoutMs)
+	fillInt(&s.TickMs, defaultTickMs)
+	fillInt(&s.DrainGraceMs, defaultDrainGraceMs)
+	fillInt(&s.RetryAfterMs, defaultRetryAfterMs)
+	fillInt(&s.LeavingHoldMs, defaultLeavingHoldMs)
+	return firstErr(
+		required("name", s.Name),
+		required("zone", s.Zone),
+		hostPort("listen", s.Listen),
+		hostPort("platform", s.Platform),
+		positive("workers", s.Workers),
+		positive("max_in_flight", s.MaxInFlight),
+		positive("conns_per_backend", s.ConnsPerBackend),
+		positive("default_timeout_ms", s.DefaultTimeoutMs),
+		atLeast("max_timeout_ms", s.MaxTimeoutMs, s.DefaultTimeoutMs),
+		atMost("min_timeout_ms", s.MinTimeoutMs, s.DefaultTimeoutMs),
+		positive("tick_ms", s.TickMs),
+	)
+}
+
+// Check fills defaults and validates every field.
+func (s *Backend) Check() error {
+	fillInt(&s.Slots, defaultSlots)
+	fillInt(&s.MaxConns, defaultMaxConns)
+	errs := []error{
+		required("name", s.Name),
+		required("zone", s.Zone),
+		hostPort("listen", s.Listen),
+		positive("slots", s.Slots),
+		positive("max_conns", s.MaxConns),
+		nonNegative("cold_start_ms", s.ColdStartMs),
+		nonNegative("health_lag_ms", s.HealthLagMs),
+	}
+	if s.Platform != "" {
+		errs = append(errs, hostPort("platform", s.Platform))
+	}
+	for i, l := range s.Leafs {
+		errs = append(errs, l.check(i))
+	}
+	return firstErr(errs...)
+}
+
+func (l BackendLeafSpec) check(i int) error {
+	field := func(name string) string { return "leafs[" + strconv.Itoa(i) + "]." + name }
+	if l.Dataset != DatasetParts && l.Dataset != DatasetBeds {
+		return invalid(field("dataset"), "must be %q or %q, got %q", DatasetParts, DatasetBeds, l.Dataset)
+	}
+	if len(l.Shards) == 0 {
+		return invalid(field("shards"), "must list at least one shard")
+	}
+	if len(l.Snapshots) == 0 {
+		return invalid(field("snapshots"), "must list at least one snapshot version")
+	}
+	return required(field("index"), l.Index)
+}
+
+// Check fills defaults and validates every field, including the initial
+// deployment configuration.
+func (s *Platform) Check() error {
+	fillInt(&s.ReadsPerSecond, defaultReadsPerSec)
+	fillInt(&s.WatchTimeoutMs, defaultWatchTimeout)
+	if err := firstErr(
+		hostPort("listen", s.Listen),
+		positive("reads_per_second", s.ReadsPerSecond),
+		nonNegative("instance_lag_ms", s.InstanceLagMs),
+	); err != nil {
+		return err
+	}
+	if err := s.Configuration.Validate(); err != nil {
+		return invalid("configuration", "%v", err)
+	}
+	return nil
+}
+
+// Duration converts a millisecond setting.
+func Duration(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
+
+func fillInt(v *int, def int) {
+	if *v == 0 {
+		*v = def
+	}
+}
+
+func invalid(field, format string, args ...any) error {
+	return errcode.New(errcode.SettingsInvalid, "setting "+field+": "+format, args...)
+}
+
+func required(field, v string) error {
+	if v == "" {
+		return invalid(field, "is required")
+	}
+	return nil
+}
+
+func hostPort(field, v string) error {
+	if _, _, err := net.SplitHostPort(v); err != nil {
+		return invalid(field, "must be host:port, got %q", v)
+	}
+	return nil
+}
+
+func positive(field string, v int) error {
+	if v <= 0 {
+		return invalid(field, "must be positive, got %d", v)
+	}
+	return nil
+}
+
+func nonNegative(field string, v int) error {
+	if v < 0 {
+		return invalid(field, "must not be negative, got %d", v)
+	}
+	return nil
+}
+
+func atLeast(field string, v, min int) error {
+	if v < min {
+		return invalid(field, "must be at least %d, got %d", min, v)
+	}
+	return nil
+}
+
+func atMost(field string, v, max int) error {
+	if v > max {
+		return invalid(field, "must be at most %d, got %d", max, v)
+	}
+	return nil
+}
+
+func firstErr(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/topology/topology.go
@@ -0,0 +1,190 @@
+// Package topology owns the deployment configuration that operators publish
+// on the platform's configuration service: brand deployments, their indexes
+// and shards, the leafs that hold each shard on backend servers, and the
+// client applications allowed to search. A Config is immutable once built;
+// every change is a new Config with a higher Version.
+package topology
+
+import (
+	"fmt"
+	"sort"
+
+	"github.com/indigoyoke/indigoyoke/pkg/errcode"
+)
+
+// Config is one numbered version of the whole deployment configuration.
+type Config struct {
+	Version     int64           `json:"version" yaml:"version"`
+	Deployments []Deployment    `json:"deployments" yaml:"deployments"`
+	Backends    []BackendServer `json:"backends" yaml:"backends"`
+}
+
+// Deployment is a brand deployment: one storefront's indexes and the client
+// applications allowed to search them.
+type Deployment struct {
+	Name    string      `json:"name" yaml:"name"`
+	Indexes []Index     `json:"indexes" yaml:"indexes"`
+	Clients []ClientApp `json:"clients" yaml:"clients"`
+}
+
+// Index is a searchable index split into shards. Snapshot is the index
+// snapshot version in force: every answer is drawn from exactly this one.
+type Index struct {
+	Name     string  `json:"name" yaml:"name"`
+	Snapshot int64   `json:"snapshot" yaml:"snapshot"`
+	Shards   []Shard `json:"shards" yaml:"shards"`
+}
+
+// Shard is one partition of an index; Leafs names the backend servers that
+// hold a replica of it.
+type Shard struct {
+	ID    string   `json:"id" yaml:"id"`
+	Leafs []string `json:"leafs" yaml:"leafs"`
+}
+
+// ClientApp is a client application: an ID, its shared key and the indexes it
+// may search. Holds marks an application allowed to send not-repeatable
+// requests.
+type ClientApp struct {
+	ID      string   `json:"id" yaml:"id"`
+	Key     string   `json:"key" yaml:"key"`
+	Indexes []string `json:"indexes" yaml:"indexes"`
+	Holds   bool     `json:"holds" yaml:"holds"`
+}
+
+// BackendServer is one backend server (a unit) in an availability zone.
+type BackendServer struct {
+	Name string `json:"name" yaml:"name"`
+	Zone string `json:"zone" yaml:"zone"`
+	Addr string `json:"addr" yaml:"addr"`
+}
+
+// Deployment returns the named brand deployment.
+func (c *Config) Deployment(name string) (*Deployment, bool) {
+	for i := range c.Deployments {
+		if c.Deployments[i].Name == name {
+			return &c.Deployments[i], true
+		}
+	}
+	return nil, false
+}
+
+// Backend returns the named backend server.
+func (c *Config) Backend(name string) (*BackendServer, bool) {
+	for i := range c.Backends {
+		if c.Backends[i].Name == name {
+			return &c.Backends[i], true
+		}
+	}
+	return nil, false
+}
+
+// Index returns the named index of the deployment.
+func (d *Deployment) Index(name string) (*Index, bool) {
+	for i := range d.Indexes {
+		if d.Indexes[i].Name == name {
+			return &d.Indexes[i], true
+		}
+	}
+	return nil, false
+}
+
+// Client returns the client application with the given ID.
+func (d *Deployment) Client(id string) (*ClientApp, bool) {
+	for i := range d.Clients {
+		if d.Clients[i].ID == id {
+			return &d.Clients[i], true
+		}
+	}
+	return nil, false
+}
+
+// Shard returns the shard with the given ID.
+func (ix *Index) Shard(id string) (*Shard, bool) {
+	for i := range ix.Shards {
+		if ix.Shards[i].ID == id {
+			return &ix.Shards[i], true
+		}
+	}
+	return nil, false
+}
+
+// May reports whether the client application may search the index.
+func (a *ClientApp) May(index string) bool {
+	for _, n := range a.Indexes {
+		if n == index {
+			return true
+		}
+	}
+	return false
+}
+
+// Validate checks that names are unique and every leaf names a known backend
+// server. It returns an error carrying errcode.PatchInvalid.
+func (c *Config) Validate() error {
+	backends := map[string]bool{}
+	for _, b := range c.Backends {
+		if b.Name == "" || b.Addr == "" || b.Zone == "" {
+			return errcode.New(errcode.PatchInvalid, "backend server %q needs name, zone and addr", b.Name)
+		}
+		if backends[b.Name] {
+			return errcode.New(errcode.PatchInvalid, "backend server %q listed twice", b.Name)
+		}
+		backends[b.Name] = true
+	}
+	seen := map[string]bool{}
+	for _, d := range c.Deployments {
+		if seen[d.Name] {
+			return errcode.New(errcode.PatchInvalid, "deployment %q listed twice", d.Name)
+		}
+		seen[d.Name] = true
+		if err := d.validate(backends); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *Deployment) validate(backends map[string]bool) error {
+	indexes := map[string]bool{}
+	for _, ix := range d.Indexes {
+		if indexes[ix.Name] {
+			return errcode.New(errcode.PatchInvalid, "%s: index %q listed twice", d.Name, ix.Name)
+		}
+		indexes[ix.Name] = true
+		for _, s := range ix.Shards {
+			for _, l := range s.Leafs {
+				if !backends[l] {
+					return errcode.New(errcode.PatchInvalid, "%s/%s/%s: leaf on unknown backend server %q", d.Name, ix.Name, s.ID, l)
+				}
+			}
+		}
+	}
+	for _, a := range d.Clients {
+		for _, n := range a.Indexes {
+			if !indexes[n] {
+				return errcode.New(errcode.PatchInvalid, "%s: client %q names unknown index %q", d.Name, a.ID, n)
+			}
+		}
+	}
+	return nil
+}
+
+// Zones lists the availability zones of the backend servers, sorted.
+func (c *Config) Zones() []string {
+	set := map[string]bool{}
+	for _, b := range c.Backends {
+		set[b.Zone] = true
+	}
+	out := make([]string, 0, len(set))
+	for z := range set {
+		out = append(out, z)
+	}
+	sort.Strings(out)
+	return out
+}
+
+// String is a short description for logs.
+func (c *Config) String() string {
+	return fmt.Sprintf("config v%d (%d deployments, %d backend servers)", c.Version, len(c.Deployments), len(c.Backends))
+}
