--- a/pkg/cli/ops.go
+++ b/pkg/cli/ops.go
@@ -115,7 +115,7 @@
 
 type clientFlags struct {
 	entry, app, key, deployment, index string
-	timeoutMs                         int
+	timeoutMs                          int
 }
 
 func (f *clientFlags) add(cmd *cobra.Command) {
