--- a/pkg/demo/cluster.go
+++ b/pkg/demo/cluster.go
@@ -35,12 +35,16 @@
 // StartCluster starts user u's installation in this process, with logs to
 // logs, and waits until every entry instance has a configuration. Backend
 // servers bind first, the platform then publishes their real addresses,
-// and entry instances are pointed at the platform's.
-func StartCluster(u User, logs io.Writer) (*Cluster, error) {
+// and entry instances are pointed at the platform's. Each tweak may change
+// the layout's settings before anything starts.
+func StartCluster(u User, logs io.Writer, tweaks ...func(*Layout)) (*Cluster, error) {
 	l, err := Build(u, loopbackAny)
 	if err != nil {
 		return nil, err
 	}
+	for _, t := range tweaks {
+		t(l)
+	}
 	c := &Cluster{Layout: l, Backends: map[string]*backend.Server{}, Entries: map[string]*entry.Entry{}}
 	report := func(i wire.Instance) { c.Platform.Report(i) }
 	for i := range l.Backends {
--- a/pkg/demo/session_test.go
+++ b/pkg/demo/session_test.go
@@ -28,8 +28,8 @@
 	out strings.Builder
 }
 
-func newSession(t *testing.T, u User) *session {
-	c, err := StartCluster(u, io.Discard)
+func newSession(t *testing.T, u User, tweaks ...func(*Layout)) *session {
+	c, err := StartCluster(u, io.Discard, tweaks...)
 	require.NoError(t, err)
 	t.Cleanup(c.Stop)
 	return &session{t: t, c: c}
