Holds go to the primary leaf only; configuration versions only go forward

Cause (hold twice): a hold was sent to the nearest replica, and each replica keeps its own record of idempotency keys, so a client retry through the other zone's entry instance ran the hold again on that zone's replica. Ruled out: a dedupe table in the entry instance (not seen by the other entry instances, lost on replacement; the system writes no shared state). Change: Leafs[0] is the shard's primary; a not-repeatable request goes only there and is never moved to another replica; if the primary cannot be reached the answer is "not run" with a retry hint.

Cause (revert): Watcher.Offer put in force any version that differed from the one in force, so a stale configuration service's v1 replaced v2. Change: only a higher version is put in force; older ones are counted in config_versions_ignored_total.

--- a/pkg/entry/hold.go
+++ b/pkg/entry/hold.go
@@ -7,11 +7,13 @@
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
-// hold sends a not-repeatable request to one leaf of its shard. It is never
-// hedged. It moves to another leaf only when the reply guarantees the first
-// did not run; any other failure answers OutcomeUnknown, and the caller may
-// ask again with the same idempotency key, which the backend server answers
-// from its record without running it twice.
+// hold sends a not-repeatable request to the shard's primary leaf only. It
+// is never hedged and never moved to another replica: each replica keeps its
+// own record of idempotency keys, so a retry that reached a second replica
+// would run again there (a bed promised twice). When the primary cannot be
+// reached the answer is "not run" with a retry hint. Any failure after
+// sending answers OutcomeUnknown, and the caller may ask again with the same
+// key, which the primary answers from its record without running it twice.
 func (e *Entry) hold(ctx context.Context, cl *call, req wire.HoldRequest) wire.Answer {
 	ctx, cancel := context.WithDeadline(ctx, cl.deadline.Add(-replyMargin))
 	defer cancel()
@@ -23,7 +25,7 @@
 		RequestID: cl.id, Kind: wire.LeafHold, Index: cl.index.Name, Snapshot: cl.index.Snapshot,
 		Item: req.Item, IdempotencyKey: req.IdempotencyKey, DeadlineUnixMs: cl.deadline.Add(-replyMargin).UnixMilli(),
 	}
-	r := e.callShard(ctx, leaf, *s, len(s.Leafs))
+	r := e.callShard(ctx, leaf, s.Primary(), 1)
 	a := wire.Answer{RequestID: cl.id, Code: r.code, Snapshot: cl.index.Snapshot, Message: r.msg}
 	switch {
 	case r.code == errcode.OK:
--- a/pkg/platform/watch.go
+++ b/pkg/platform/watch.go
@@ -83,11 +83,14 @@
 	}
 }
 
-// Offer puts cfg in force if it differs from the one in force, and reports
-// whether it did.
+// Offer puts cfg in force if it is newer than the one in force, and reports
+// whether it did. A stale replica of the configuration service, or one
+// restored from an old state, answers with an older version; putting that
+// in force would revert an accepted change, so versions only go forward
+// and older ones are counted in config_versions_ignored_total.
 func (w *Watcher) Offer(cfg *topology.Config) bool {
 	old := w.current.Load()
-	if old != nil && cfg.Version == old.Version {
+	if old != nil && cfg.Version <= old.Version {
 		w.ignored.Inc()
 		return false
 	}
--- a/pkg/topology/topology.go
+++ b/pkg/topology/topology.go
@@ -36,12 +36,21 @@
 }
 
 // Shard is one partition of an index; Leafs names the backend servers that
-// hold a replica of it.
+// hold a replica of it. Leafs[0] is the primary: the only replica that
+// takes not-repeatable requests.
 type Shard struct {
 	ID    string   `json:"id" yaml:"id"`
 	Leafs []string `json:"leafs" yaml:"leafs"`
 }
 
+// Primary returns the shard restricted to its primary leaf.
+func (s Shard) Primary() Shard {
+	if len(s.Leafs) == 0 {
+		return s
+	}
+	return Shard{ID: s.ID, Leafs: s.Leafs[:1]}
+}
+
 // ClientApp is a client application: an ID, its shared key and the indexes it
 // may search. Holds marks an application allowed to send not-repeatable
 // requests.
