--- a/pkg/demo/faults_test.go
+++ b/pkg/demo/faults_test.go
@@ -1,13 +1,18 @@
 package demo
 
 import (
+	"context"
 	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/indigoyoke/indigoyoke/pkg/backend"
+	"github.com/indigoyoke/indigoyoke/pkg/caller"
+	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/platform"
+	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
@@ -77,3 +82,118 @@
 	}
 	s.golden("config-never-reverts")
 }
+
+// TestFrozenPrimaryWokenLateDoesNotRunHold proves "when a request is refused
+// as not run, it really did not run" and "a not-repeatable request runs at
+// most once" for a backend server that pauses and wakes up late.
+//
+// Symptom: a hold answered "outcome unknown" runs later anyway, and the
+// client's retry with the same key then runs it a second time.
+// Sequence: shard s03's primary freezes holding the van's request; the entry
+// instance answers at the deadline; the primary wakes, still holding the
+// request it read before the freeze.
+// Cause: a server that starts work past the caller's deadline acts after the
+// entry has already answered for it.
+func TestFrozenPrimaryWokenLateDoesNotRunHold(t *testing.T) {
+	s := newSession(t, Lakeshore)
+	dep := Deployment(Lakeshore)
+	h := wire.HoldRequest{Deployment: dep, Index: "shelter-console", Shard: "s03", Item: "s03-room-1", IdempotencyKey: "van3-night-2", TimeoutMs: 100}
+	s.control("detroit-hall-unit-1", backend.Control{Action: backend.ActFreeze})
+	s.hold("detroit-hall-entry-1", "outreach-van", "outreach-van-key", h)
+	s.control("detroit-hall-unit-1", backend.Control{Action: backend.ActThaw})
+	time.Sleep(50 * time.Millisecond)
+	s.note("holds executed after the late wake-up: %d", s.holdsExecuted())
+	require.Zero(t, s.holdsExecuted(), "a hold ran after its deadline")
+	s.note("the van asks again with the same key")
+	s.hold("detroit-hall-entry-2", "outreach-van", "outreach-van-key", h)
+	s.hold("detroit-hall-entry-1", "outreach-van", "outreach-van-key", h)
+	s.note("holds executed: %d", s.holdsExecuted())
+	require.Equal(t, uint64(1), s.holdsExecuted())
+	s.golden("frozen-primary-hold")
+}
+
+// TestLeavingBackendGetsNoNewWork proves "a backend server that is leaving
+// receives no new work after a few seconds", while the instance list lags.
+//
+// Symptom: a draining backend server keeps receiving leaf requests.
+// Sequence: lj-a-unit-1 starts draining; the platform's instance list still
+// shows it live for 1.5 s; searches keep coming to all four entry instances.
+// Cause it guards against: an entry that trusts only the lagging list keeps
+// sending until the list catches up.
+func TestLeavingBackendGetsNoNewWork(t *testing.T) {
+	s := newSession(t, Lipovec)
+	dep := Deployment(Lipovec)
+	q := wire.SearchRequest{Deployment: dep, Index: "viewer-api", Text: "bolt", TimeoutMs: 300}
+	leaving := s.c.Backends["lj-a-unit-1"]
+	s.control("lj-a-unit-1", backend.Control{Action: backend.ActDrain})
+	before := leaving.Received()
+	for i := 0; i < 5; i++ {
+		for _, name := range s.c.EntryNames() {
+			s.quietSearch(name, q)
+		}
+	}
+	firstRound := leaving.Received() - before
+	s.note("leaf requests reaching the leaving server in the first 20 searches: at most one per entry instance: %t", firstRound <= 4)
+	require.LessOrEqual(t, firstRound, uint64(4))
+	time.Sleep(3 * time.Second)
+	mark := leaving.Received()
+	for _, name := range s.c.EntryNames() {
+		s.quietSearch(name, q)
+	}
+	s.search("lj-a-entry-1", "cad-viewer", "cad-viewer-key", q)
+	s.note("leaf requests reaching it 3 s later: %d; executed since the drain: %d", leaving.Received()-mark, leaving.Executed())
+	require.Equal(t, mark, leaving.Received())
+	s.golden("leaving-backend")
+}
+
+func (s *session) quietSearch(entryName string, req wire.SearchRequest) wire.Answer {
+	cl, err := caller.New("cad-viewer", "cad-viewer-key")
+	require.NoError(s.t, err)
+	a, err := cl.Search(context.Background(), s.c.Entries[entryName].Addr(), req)
+	require.NoError(s.t, err)
+	return a
+}
+
+// TestRacingPatchesOneAccepted proves that two operators racing patches
+// against one version get one accepted everywhere and one refused.
+//
+// Symptom: two different v2s, or entry instances disagreeing on v2.
+// Sequence: both operators read v1 and submit at the same moment over HTTP.
+// Cause it guards against: a compare of the base version and an append that
+// are not one step.
+func TestRacingPatchesOneAccepted(t *testing.T) {
+	s := newSession(t, Lipovec)
+	dep := Deployment(Lipovec)
+	results := make(chan wire.PatchResult, 2)
+	for _, snap := range []int64{2, 3} {
+		go func() {
+			c, _ := service.NewClient(2, time.Second)
+			p := topology.Patch{BaseVersion: 1, Ops: []topology.Op{{Kind: topology.OpSetSnapshot, Deployment: dep, Index: "viewer-api", Snapshot: snap}}}
+			var r wire.PatchResult
+			_, _ = c.Do(context.Background(), "POST", "http://"+s.c.Platform.Addr()+platform.PathPatch, nil, p, &r, time.Now().Add(time.Second))
+			results <- r
+		}()
+	}
+	codes := map[errcode.Code]int{}
+	for i := 0; i < 2; i++ {
+		codes[(<-results).Code]++
+	}
+	s.note("accepted=%d refused_as_conflict=%d", codes[errcode.OK], codes[errcode.PatchConflict])
+	require.Equal(t, 1, codes[errcode.OK])
+	require.Equal(t, 1, codes[errcode.PatchConflict])
+	require.NoError(t, s.c.WaitVersion(2, 5*time.Second))
+	seen := map[int64]bool{}
+	for _, e := range s.c.Entries {
+		ix, _ := mustDeployment(t, e.Watcher().Current(), dep).Index("viewer-api")
+		seen[ix.Snapshot] = true
+	}
+	s.note("distinct snapshots in force across entry instances at v2: %d", len(seen))
+	require.Len(t, seen, 1)
+	s.golden("racing-patches")
+}
+
+func mustDeployment(t *testing.T, cfg *topology.Config, name string) *topology.Deployment {
+	d, ok := cfg.Deployment(name)
+	require.True(t, ok)
+	return d
+}
