--- a/pkg/demo/faults_test.go
+++ b/pkg/demo/faults_test.go
@@ -197,3 +197,113 @@
 	require.True(t, ok)
 	return d
 }
+
+// TestKilledBackendCoverageFromOtherZone proves "every answer states truly
+// which shards it covers" when a replica is lost without warning, and that
+// a read moves to the other zone's replica rather than dropping the shard.
+//
+// Symptom: shards s01 and s03 listed missing although lj-b holds them.
+// Sequence: lj-a-unit-1 is killed (connections dropped, port closed); the
+// next searches through lj-a's entry instances try it first.
+// Cause: the fan-out moved to another leaf only on a not-run reply, and a
+// refused connection is a transport error, not a reply.
+func TestKilledBackendCoverageFromOtherZone(t *testing.T) {
+	s := newSession(t, Lipovec)
+	dep := Deployment(Lipovec)
+	q := wire.SearchRequest{Deployment: dep, Index: "viewer-api", Text: "shaft", TimeoutMs: 300}
+	s.c.Backends["lj-a-unit-1"].Kill()
+	s.note("lj-a-unit-1 killed")
+	s.search("lj-a-entry-1", "cad-viewer", "cad-viewer-key", q)
+	a := s.search("lj-a-entry-2", "cad-viewer", "cad-viewer-key", q)
+	require.Len(t, a.Covered, 4, "a read lost a shard that another replica holds")
+	s.c.Backends["lj-b-unit-1"].Kill()
+	s.note("lj-b-unit-1 killed too: s01 and s03 have no replica left")
+	a = s.search("lj-a-entry-1", "cad-viewer", "cad-viewer-key", q)
+	require.Equal(t, []string{"s02", "s04"}, a.Covered)
+	s.golden("killed-backend")
+}
+
+// TestEntryStopCutsNoRequest proves "every planned stop is a graceful
+// shutdown: it cuts off no request in flight".
+//
+// Symptom: callers of a stopping entry instance see reset connections or
+// empty answers.
+// Sequence: 16 searches are in flight on a slow shard (120 ms) when the
+// entry instance is told to stop; more arrive during the stop.
+// Cause it guards against: closing the listener and connections while
+// requests are still being gathered.
+func TestEntryStopCutsNoRequest(t *testing.T) {
+	// Enough slots that the slow shards queue nothing: shedding is
+	// another test's business, this one isolates the stop.
+	s := newSession(t, Lipovec, func(l *Layout) {
+		for i := range l.Backends {
+			l.Backends[i].Slots = 64
+		}
+	})
+	dep := Deployment(Lipovec)
+	q := wire.SearchRequest{Deployment: dep, Index: "viewer-api", Text: "bracket", TimeoutMs: 1000}
+	s.control("lj-a-unit-2", backend.Control{Action: backend.ActSlow, DelayMs: 120})
+	s.control("lj-b-unit-2", backend.Control{Action: backend.ActSlow, DelayMs: 120})
+	e := s.c.Entries["lj-a-entry-1"]
+	cl, err := caller.New("cad-viewer", "cad-viewer-key")
+	require.NoError(t, err)
+	answers := make(chan wire.Answer, 32)
+	failures := make(chan error, 32)
+	send := func() {
+		a, err := cl.Search(context.Background(), e.Addr(), q)
+		if err != nil {
+			failures <- err
+			return
+		}
+		answers <- a
+	}
+	for i := 0; i < 16; i++ {
+		go send()
+	}
+	time.Sleep(30 * time.Millisecond)
+	stopped := make(chan struct{})
+	go func() { _ = e.Stop(context.Background()); close(stopped) }()
+	for i := 0; i < 8; i++ {
+		time.Sleep(20 * time.Millisecond)
+		go send()
+	}
+	<-stopped
+	counts := map[string]int{}
+	for i := 0; i < 24; i++ {
+		select {
+		case a := <-answers:
+			counts[fmt.Sprintf("%s covered=%d", a.Code, len(a.Covered))]++
+		case err := <-failures:
+			t.Fatalf("a request was cut off: %v", err)
+		}
+	}
+	s.note("answers during the stop: %v", counts)
+	require.Equal(t, 24, counts["IY0000 covered=4"])
+	s.golden("entry-graceful-stop")
+}
+
+// TestPlatformDownServesLastConfig proves that a long outage of the
+// configuration service neither stops serving nor loses accepted changes.
+//
+// Symptom: entry instances refuse or forget v2 while the service is down,
+// or stay behind after it returns.
+// Sequence: v2 in force; the service goes down for 1 s; entries keep
+// answering from v2; an operator's patch to v3 is accepted when the
+// service is back.
+// Cause it guards against: dropping the configuration in force on a failed
+// watch, and a watch that gives up instead of backing off.
+func TestPlatformDownServesLastConfig(t *testing.T) {
+	s := newSession(t, Lipovec, func(l *Layout) { l.Platform.WatchTimeoutMs = 100 })
+	dep := Deployment(Lipovec)
+	q := wire.SearchRequest{Deployment: dep, Index: "viewer-api", Text: "flange", TimeoutMs: 300}
+	s.patch(topology.Patch{BaseVersion: 1, Ops: []topology.Op{{Kind: topology.OpSetSnapshot, Deployment: dep, Index: "viewer-api", Snapshot: 2}}})
+	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeDown})
+	s.note("configuration service down")
+	time.Sleep(time.Second)
+	s.search("lj-b-entry-1", "cad-viewer", "cad-viewer-key", q)
+	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal})
+	s.note("configuration service back")
+	s.patch(topology.Patch{BaseVersion: 2, Ops: []topology.Op{{Kind: topology.OpSetSnapshot, Deployment: dep, Index: "viewer-api", Snapshot: 1}}})
+	s.search("lj-b-entry-1", "cad-viewer", "cad-viewer-key", q)
+	s.golden("platform-down")
+}
