Searches move to another replica when a leaf is lost, not only on "not run"

Cause: callShard moved a shard to its next leaf only on a reply whose code guarantees the leaf did not run. A killed replica gives no reply at all (connection refused or dropped), so the fan-out gave up on the shard although another zone held it. Ruled out: a health probe before each call (health endpoints lag, and a probe per call doubles the messages); the down mark after two failures already keeps later calls away, but the first calls after the kill still lost the shard.

Change: retryable(kind, code): not-run codes always move on; a search, a read, also moves on after a transport failure (IY3005); a deadline never does; holds still move only on not run.

Before: TestKilledBackendCoverageFromOtherZone covered 2 of 4 shards after one replica was killed.

--- a/pkg/entry/fanout.go
+++ b/pkg/entry/fanout.go
@@ -110,13 +110,29 @@
 			e.m.retries.Inc()
 		}
 		last = e.send(ctx, c, leaf)
-		if last.code == errcode.OK || !last.code.NotRun() {
+		if !retryable(leaf.Kind, last.code) {
 			return last
 		}
 	}
 	return last
 }
 
+// retryable reports whether a shard may move to its next leaf after code.
+// A not-run reply always allows it. A search is a read, so a lost replica
+// (refused connection, dropped reply) may be retried on another one too;
+// without this, a replica killed without warning drops its shards from
+// every answer although other zones hold them. A hold moves only on not
+// run, and never past the deadline.
+func retryable(kind wire.LeafKind, code errcode.Code) bool {
+	switch {
+	case code == errcode.OK, code == errcode.ShardTimeout:
+		return false
+	case code.NotRun():
+		return true
+	}
+	return kind == wire.LeafSearch && code == errcode.ShardFailed
+}
+
 // send makes one leaf call and checks that the reply belongs to it.
 func (e *Entry) send(ctx context.Context, c candidate, leaf wire.LeafRequest) shardResult {
 	e.m.leafCalls.Inc()
