--- /dev/null
+++ b/pkg/platform/watch_test.go
@@ -0,0 +1,70 @@
+package platform
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/indigoyoke/indigoyoke/pkg/service"
+	"github.com/indigoyoke/indigoyoke/pkg/settings"
+	"github.com/indigoyoke/indigoyoke/pkg/topology"
+	"github.com/indigoyoke/indigoyoke/pkg/wire"
+)
+
+func standIn(t *testing.T, watchMs int) *Server {
+	cfg := topology.Config{Version: 1, Backends: []topology.BackendServer{{Name: "u1", Zone: "z", Addr: "127.0.0.1:1"}}}
+	ix := topology.Index{Name: "i", Snapshot: 1}
+	for n := 0; n < 200; n++ {
+		ix.Shards = append(ix.Shards, topology.Shard{ID: fmt.Sprintf("s%03d", n), Leafs: []string{"u1"}})
+	}
+	cfg.Deployments = []topology.Deployment{{Name: "d", Indexes: []topology.Index{ix}}}
+	s := &settings.Platform{Listen: "127.0.0.1:0", WatchTimeoutMs: watchMs, Configuration: cfg}
+	require.NoError(t, s.Check())
+	p, err := New(s)
+	require.NoError(t, err)
+	p.Start()
+	t.Cleanup(func() { _ = p.Stop(context.Background()) })
+	return p
+}
+
+// TestIdleWatchCarriesNoConfiguration bounds the control traffic of a
+// quiet fleet.
+//
+// Symptom: each node reads the whole configuration every watch timeout
+// although nothing changed (about 67 KB/s a node at 5,200 leafs, against a
+// budget of 5 KB/s).
+// Sequence: an entry instance at v1 watches; no patch comes; the watch
+// times out.
+// Cause: the timed-out watch answered with the full configuration.
+func TestIdleWatchCarriesNoConfiguration(t *testing.T) {
+	p := standIn(t, 50)
+	c, err := service.NewClient(1, time.Second)
+	require.NoError(t, err)
+	var reply wire.ConfigReply
+	url := "http://" + p.Addr() + PathWatch + "?after=1"
+	_, err = c.Do(context.Background(), "GET", url, nil, nil, &reply, time.Now().Add(time.Second))
+	require.NoError(t, err)
+	require.True(t, reply.Config == nil, "an idle watch sent the whole configuration")
+	require.Equal(t, int64(1), reply.Version)
+}
+
+// TestWatcherFollowsAfterIdleRounds checks that empty watch replies are not
+// taken for failures and that a change after them is put in force.
+func TestWatcherFollowsAfterIdleRounds(t *testing.T) {
+	p := standIn(t, 30)
+	w, err := NewWatcher(p.Addr(), metrics.NewSet(), service.Logger("test", "w", "z"))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go w.Run(ctx)
+	require.Eventually(t, func() bool { return w.Version() == 1 }, 2*time.Second, 5*time.Millisecond)
+	time.Sleep(100 * time.Millisecond)
+	_, err = p.Submit(topology.Patch{BaseVersion: 1, Ops: []topology.Op{{Kind: topology.OpSetSnapshot, Deployment: "d", Index: "i", Snapshot: 2}}})
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { return w.Version() == 2 }, 2*time.Second, 5*time.Millisecond)
+	require.Zero(t, w.failed.Get())
+}
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -147,9 +147,12 @@
 	Version int64        `json:"version"`
 }
 
-// ConfigReply wraps a configuration read or watch.
+// ConfigReply wraps a configuration read or watch. Version is the version
+// the service has; Config is left out when a watch ends with nothing newer
+// than the reader's.
 type ConfigReply struct {
-	Config *topology.Config `json:"config"`
+	Version int64            `json:"version"`
+	Config  *topology.Config `json:"config,omitempty"`
 }
 
 // Health is a process's health endpoint reply.
