A watch that ends with nothing newer carries only the version

Cause: handleWatch answered a timed-out watch with the whole configuration although the reader already had that version. Ruled out: lengthening the watch timeout alone (it divides the cost, it does not remove it, and a longer poll makes a dead service slower to notice).

Change: the timed-out reply is {"version":N} with no configuration; the watcher takes a nil configuration as "nothing newer", not as a failure. A stale service still answers with its older configuration, so the never-revert proof keeps its teeth.

--- a/pkg/platform/server.go
+++ b/pkg/platform/server.go
@@ -174,7 +174,7 @@
 		refuse(c, code)
 		return
 	}
-	c.JSON(200, wire.ConfigReply{Config: cfg})
+	c.JSON(200, wire.ConfigReply{Version: cfg.Version, Config: cfg})
 }
 
 func (p *Server) handleWatch(ctx context.Context, c *app.RequestContext) {
@@ -194,7 +194,10 @@
 		select {
 		case <-changed:
 		case <-deadline.C:
-			c.JSON(200, wire.ConfigReply{Config: cfg})
+			// Nothing newer: the reader already has this version, and
+			// resending it would cost each node the whole configuration
+			// every watch timeout.
+			c.JSON(200, wire.ConfigReply{Version: cfg.Version})
 			return
 		case <-ctx.Done():
 			return
@@ -209,7 +212,7 @@
 		case <-ctx.Done():
 		}
 	}
-	c.JSON(200, wire.ConfigReply{Config: cfg})
+	c.JSON(200, wire.ConfigReply{Version: cfg.Version, Config: cfg})
 }
 
 // peek reads without counting a call: a waiting watch counts once.
--- a/pkg/platform/watch.go
+++ b/pkg/platform/watch.go
@@ -79,7 +79,9 @@
 			continue
 		}
 		backoff = backoffInitial
-		w.Offer(cfg)
+		if cfg != nil {
+			w.Offer(cfg)
+		}
 	}
 }
 
@@ -103,6 +105,8 @@
 	return true
 }
 
+// watch long-polls for a version newer than after; a nil configuration
+// with no error means the watch ended with nothing newer.
 func (w *Watcher) watch(ctx context.Context, after int64) (*topology.Config, error) {
 	url := fmt.Sprintf("http://%s%s?after=%d&timeout_ms=%d", w.addr, PathWatch, after, watchTimeout.Milliseconds())
 	var reply wire.ConfigReply
@@ -110,7 +114,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if status != 200 || reply.Config == nil {
+	if status != 200 {
 		return nil, fmt.Errorf("watch: status %d", status)
 	}
 	return reply.Config, nil
