Hedged requests within a budget; yokectl bench against a naive baseline

Change: policy "hedged" (default; "naive" kept as the baseline and as a setting). Replicas are ordered by requests in flight, then measured latency; a search's second request goes to the next replica after the 90th percentile of the first leaf's last 64 latencies (at least hedge_min_ms, 5), within a token-bucket budget of hedge_budget_percent (10) of leaf requests; the first good reply wins. The stand-in's slow fault takes a percent of requests.

Failed try, not committed: hedge delay = mean + 4 deviations.

--- a/cmd/yokectl/main.go
+++ b/cmd/yokectl/main.go
@@ -24,6 +24,7 @@
 		cli.HoldCmd(),
 		cli.DemoCmd(),
 		cli.LoadCmd(),
+		cli.BenchCmd(),
 	)
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
--- a/pkg/backend/control.go
+++ b/pkg/backend/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -34,11 +35,13 @@
 	ActCrossReplies Action = "cross_replies"
 )
 
-// Control is the body of a control request. DelayMs and Shards go with
-// slow (no shards: every shard); Index and Snapshot with publish and drop.
+// Control is the body of a control request. DelayMs, Shards and Percent go
+// with slow (no shards: every shard; no percent: every request); Index and
+// Snapshot with publish and drop.
 type Control struct {
 	Action   Action   `json:"action"`
 	DelayMs  int      `json:"delay_ms,omitempty"`
+	Percent  int      `json:"percent,omitempty"`
 	Shards   []string `json:"shards,omitempty"`
 	Index    string   `json:"index,omitempty"`
 	Snapshot int64    `json:"snapshot,omitempty"`
@@ -47,6 +50,7 @@
 // Faults are the faults in force.
 type Faults struct {
 	DelayMs    int      `json:"delay_ms,omitempty"`
+	SlowPct    int      `json:"slow_percent,omitempty"`
 	SlowShards []string `json:"slow_shards,omitempty"`
 	Refuse     bool     `json:"refuse,omitempty"`
 	Frozen     bool     `json:"frozen,omitempty"`
@@ -54,8 +58,13 @@
 	Crossed    bool     `json:"cross_replies,omitempty"`
 }
 
+// slows decides whether one request to shard is slowed: stragglers come
+// from the listed shards, on SlowPct percent of requests (all when 0).
 func (f Faults) slows(shard string) bool {
-	return len(f.SlowShards) == 0 || slices.Contains(f.SlowShards, shard)
+	if len(f.SlowShards) > 0 && !slices.Contains(f.SlowShards, shard) {
+		return false
+	}
+	return f.SlowPct == 0 || rand.IntN(100) < f.SlowPct
 }
 
 // OnKill sets what the kill action does besides dropping every connection;
@@ -94,7 +103,7 @@
 	defer b.mu.Unlock()
 	switch ctl.Action {
 	case ActSlow:
-		b.faults.DelayMs, b.faults.SlowShards = ctl.DelayMs, ctl.Shards
+		b.faults.DelayMs, b.faults.SlowShards, b.faults.SlowPct = ctl.DelayMs, ctl.Shards, ctl.Percent
 	case ActFreeze:
 		if !b.faults.Frozen {
 			b.faults.Frozen = true
--- a/pkg/cli/load.go
+++ b/pkg/cli/load.go
@@ -9,6 +9,7 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/spf13/cobra"
+	"golang.org/x/time/rate"
 
 	"github.com/indigoyoke/indigoyoke/pkg/caller"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
@@ -37,6 +38,7 @@
 	var f clientFlags
 	var text string
 	var requests, concurrency int
+	var qps float64
 	cmd := &cobra.Command{
 		Use:   "load",
 		Short: "Send a bounded number of searches and print p50/p99/p99.9 and coverage",
@@ -46,7 +48,7 @@
 				return err
 			}
 			req := wire.SearchRequest{Deployment: f.deployment, Index: f.index, Text: text, TimeoutMs: f.timeoutMs}
-			r := RunLoad(cl, f.entry, req, requests, concurrency)
+			r := RunLoad(cl, f.entry, req, requests, concurrency, qps)
 			fmt.Fprintf(cmd.OutOrStdout(), "requests=%d errors=%d p50_ms=%.2f p99_ms=%.2f p999_ms=%.2f coverage=%.4f\n",
 				r.Requests, r.Errors, r.P50Ms, r.P99Ms, r.P999Ms, r.Coverage)
 			return nil
@@ -57,12 +59,20 @@
 	cmd.Flags().StringVar(&text, "text", "", "search text")
 	cmd.Flags().IntVar(&requests, "requests", 1000, "searches to send")
 	cmd.Flags().IntVar(&concurrency, "concurrency", 8, "concurrent callers")
+	cmd.Flags().Float64Var(&qps, "rate", 0, "searches a second in all (0: unpaced)")
 	return cmd
 }
 
-// RunLoad sends n searches from c concurrent callers and measures them.
-func RunLoad(cl *caller.Client, addr string, req wire.SearchRequest, n, c int) LoadReport {
+// RunLoad sends n searches from c concurrent callers, at most rate a
+// second in all (0: as fast as the callers go), and measures them. A rate
+// keeps the offered load fixed, so a policy that answers faster is not
+// also sent more work than the other.
+func RunLoad(cl *caller.Client, addr string, req wire.SearchRequest, n, c int, qps float64) LoadReport {
 	h := hdrhistogram.New(histMinUs, histMaxUs, histSig)
+	limit := rate.NewLimiter(rate.Inf, 1)
+	if qps > 0 {
+		limit = rate.NewLimiter(rate.Limit(qps), 1)
+	}
 	var mu sync.Mutex
 	var next, errs, covered, asked atomic.Int64
 	var wg sync.WaitGroup
@@ -71,6 +81,7 @@
 		go func() {
 			defer wg.Done()
 			for next.Add(1) <= int64(n) {
+				_ = limit.Wait(context.Background())
 				start := time.Now()
 				a, err := cl.Search(context.Background(), addr, req)
 				took := time.Since(start)
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -43,6 +43,7 @@
 
 type userSpec struct {
 	deployment string
+	slots      int
 	zones      []string
 	indexes    []indexSpec
 	clients    []topology.ClientApp
@@ -51,6 +52,7 @@
 var specs = map[User]userSpec{
 	Lipovec: {
 		deployment: "lipovec-vizija",
+		slots:      2, // viewer-api units: 2 slots each
 		zones:      []string{"lj-a", "lj-b"},
 		indexes: []indexSpec{
 			{name: "viewer-api", shards: 4, dataset: settings.DatasetParts},
@@ -63,6 +65,7 @@
 	},
 	Lakeshore: {
 		deployment: "lakeshore-haven",
+		slots:      4, // shelter-console leafs: 4 slots each
 		zones:      []string{"detroit-hall", "cleveland-hall"},
 		indexes: []indexSpec{
 			{name: "shelter-console", shards: 4, dataset: settings.DatasetBeds},
@@ -79,7 +82,6 @@
 const (
 	backendsPerZone = 2
 	entriesPerZone  = 2
-	demoSlots       = 2
 	demoConns       = 25
 	demoSnapshots   = 2
 )
@@ -134,7 +136,7 @@
 func backendFor(spec userSpec, zone string, n int, listen, platform string) settings.Backend {
 	b := settings.Backend{
 		Name: fmt.Sprintf("%s-unit-%d", zone, n), Zone: zone, Listen: listen, Platform: platform,
-		Slots: demoSlots, MaxConns: demoConns, HealthLagMs: 1000,
+		Slots: spec.slots, MaxConns: demoConns, HealthLagMs: 1000,
 	}
 	for _, ix := range spec.indexes {
 		leaf := settings.BackendLeafSpec{Index: ix.name, Dataset: ix.dataset}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -46,6 +46,7 @@
 	srv      *service.Server
 	watcher  *platform.Watcher
 	backends *backendTable
+	budget   *hedgeBudget
 	pool     *ants.Pool
 	client   *service.Client
 	ctlHTTP  *service.Client
@@ -59,7 +60,7 @@
 
 // New builds an entry instance from checked settings.
 func New(s *settings.Entry, log *logrus.Entry) (*Entry, error) {
-	e := &Entry{set: s, log: log, metrics: metrics.NewSet(), backends: newBackendTable()}
+	e := &Entry{set: s, log: log, metrics: metrics.NewSet(), backends: newBackendTable(), budget: newHedgeBudget(s.HedgeBudgetPct)}
 	var err error
 	if e.pool, err = ants.NewPool(s.Workers, ants.WithNonblocking(true)); err != nil {
 		return nil, err
--- a/pkg/entry/fanout.go
+++ b/pkg/entry/fanout.go
@@ -7,6 +7,7 @@
 
 	"github.com/indigoyoke/indigoyoke/pkg/backend"
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
+	"github.com/indigoyoke/indigoyoke/pkg/settings"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
@@ -97,10 +98,14 @@
 // when the reply guarantees the first did not run, up to attempts leafs.
 func (e *Entry) callShard(ctx context.Context, leaf wire.LeafRequest, s topology.Shard, attempts int) shardResult {
 	leaf.Shard = s.ID
-	cands := e.backends.candidates(s.Leafs, e.set.Zone, time.Now())
+	hedged := e.set.Policy == settings.PolicyHedged
+	cands := e.backends.candidates(s.Leafs, e.set.Zone, time.Now(), hedged)
 	if len(cands) == 0 {
 		return shardResult{shard: s.ID, code: errcode.ShardUnavailable, msg: "no live leaf"}
 	}
+	if hedged && leaf.Kind == wire.LeafSearch {
+		return e.hedged(ctx, leaf, cands)
+	}
 	last := shardResult{shard: s.ID, code: errcode.ShardUnavailable, msg: "no leaf tried"}
 	for i, c := range cands {
 		if i >= attempts || ctx.Err() != nil {
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -12,6 +12,7 @@
 	set        *metrics.Set
 	leafCalls  *metrics.Counter
 	retries    *metrics.Counter
+	hedges     *metrics.Counter
 	mismatched *metrics.Counter
 	late       *metrics.Counter
 	shed       *metrics.Counter
@@ -23,6 +24,7 @@
 		set:        set,
 		leafCalls:  set.NewCounter("entry_leaf_calls_total"),
 		retries:    set.NewCounter("entry_leaf_retries_total"),
+		hedges:     set.NewCounter("entry_leaf_hedges_total"),
 		mismatched: set.NewCounter("entry_leaf_replies_mismatched_total"),
 		late:       set.NewCounter("entry_leaf_replies_late_total"),
 		shed:       set.NewCounter("entry_requests_shed_total"),
--- a/pkg/entry/tables.go
+++ b/pkg/entry/tables.go
@@ -26,10 +26,17 @@
 	Failures     int       `json:"failures"`
 	DownUntil    time.Time `json:"down_until,omitzero"`
 	LatencyMs    float64   `json:"latency_ms"`
+	DevMs        float64   `json:"latency_dev_ms"`
 	InFlight     int64     `json:"in_flight"`
 	inFlight     atomic.Int64
+	recent       [latencyWindow]float64
+	samples      int
 }
 
+// latencyWindow is how many recent latencies a row keeps for the hedge
+// delay's quantile.
+const latencyWindow = 64
+
 // backendTable holds one row per backend server of the configuration in
 // force. Systems in tick.go refresh it; the fan-out reads it.
 type backendTable struct {
@@ -75,10 +82,11 @@
 	addr string
 }
 
-// candidates orders the usable leafs of a shard: own zone first, then
-// fewest requests in flight, then lowest measured latency, then name.
-// Leaving servers and servers marked down are left out.
-func (t *backendTable) candidates(leafs []string, zone string, now time.Time) []candidate {
+// candidates orders the usable leafs of a shard: own zone first, then, when
+// byLoad is set, fewest requests in flight and lowest measured latency,
+// then the configured order. Leaving servers and servers marked down are
+// left out.
+func (t *backendTable) candidates(leafs []string, zone string, now time.Time, byLoad bool) []candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]candidate, 0, len(leafs))
@@ -94,13 +102,13 @@
 		if (a.Zone == zone) != (b.Zone == zone) {
 			return a.Zone == zone
 		}
+		if !byLoad {
+			return false
+		}
 		if x, y := a.inFlight.Load(), b.inFlight.Load(); x != y {
 			return x < y
 		}
-		if a.LatencyMs != b.LatencyMs {
-			return a.LatencyMs < b.LatencyMs
-		}
-		return a.Name < b.Name
+		return a.LatencyMs < b.LatencyMs
 	})
 	return out
 }
@@ -112,7 +120,14 @@
 	if ok {
 		row.Failures = 0
 		ms := float64(took) / float64(time.Millisecond)
+		dev := ms - row.LatencyMs
+		if dev < 0 {
+			dev = -dev
+		}
+		row.DevMs = row.DevMs*(1-ewmaWeight) + dev*ewmaWeight
 		row.LatencyMs = row.LatencyMs*(1-ewmaWeight) + ms*ewmaWeight
+		row.recent[row.samples%latencyWindow] = ms
+		row.samples++
 	} else {
 		row.Failures++
 		if row.Failures >= downAfterFailures {
@@ -126,6 +141,21 @@
 	return false
 }
 
+// quantile returns the q-quantile of the row's recent latencies in ms, and
+// false while it has fewer than a window of samples.
+func (t *backendTable) quantile(row *backendRow, q float64) (float64, bool) {
+	t.mu.Lock()
+	if row.samples < latencyWindow {
+		t.mu.Unlock()
+		return 0, false
+	}
+	window := row.recent
+	t.mu.Unlock()
+	sorted := window[:]
+	sort.Float64s(sorted)
+	return sorted[int(q*float64(latencyWindow-1))], true
+}
+
 // markLeaving records what the platform's instance list says. The list
 // lags: a server that told us itself that it is leaving would be shown live
 // again by an old row, so a leaving mark is cleared only once it is older
@@ -153,7 +183,7 @@
 	for _, r := range t.rows {
 		out = append(out, backendRow{
 			Name: r.Name, Zone: r.Zone, Addr: r.Addr, Leaving: r.Leaving, LeavingSince: r.LeavingSince,
-			Failures: r.Failures, DownUntil: r.DownUntil, LatencyMs: r.LatencyMs, InFlight: r.inFlight.Load(),
+			Failures: r.Failures, DownUntil: r.DownUntil, LatencyMs: r.LatencyMs, DevMs: r.DevMs, InFlight: r.inFlight.Load(),
 		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -34,8 +34,21 @@
 	DrainGraceMs     int    `yaml:"drain_grace_ms"`
 	RetryAfterMs     int    `yaml:"retry_after_ms"`
 	LeavingHoldMs    int    `yaml:"leaving_hold_ms"`
+	Policy           string `yaml:"policy"`
+	HedgeBudgetPct   int    `yaml:"hedge_budget_percent"`
+	HedgeMinMs       int    `yaml:"hedge_min_ms"`
 }
 
+// Fan-out policies of an entry instance.
+const (
+	// PolicyHedged picks replicas by measured latency and sends a hedged
+	// request to a second replica when the first is slow, within a budget.
+	PolicyHedged = "hedged"
+	// PolicyNaive is the baseline: own zone first, wait for every shard
+	// until the deadline, no hedging.
+	PolicyNaive = "naive"
+)
+
 // Backend holds a backend server stand-in's settings.
 type Backend struct {
 	Name        string            `yaml:"name"`
@@ -81,6 +94,8 @@
 	defaultDrainGraceMs  = 500
 	defaultRetryAfterMs  = 250
 	defaultLeavingHoldMs = 2000
+	defaultHedgeBudget   = 10
+	defaultHedgeMinMs    = 5
 	defaultSlots         = 2
 	defaultMaxConns      = 25
 	defaultReadsPerSec   = 2000
@@ -145,7 +160,15 @@
 	fillInt(&s.DrainGraceMs, defaultDrainGraceMs)
 	fillInt(&s.RetryAfterMs, defaultRetryAfterMs)
 	fillInt(&s.LeavingHoldMs, defaultLeavingHoldMs)
+	fillInt(&s.HedgeBudgetPct, defaultHedgeBudget)
+	fillInt(&s.HedgeMinMs, defaultHedgeMinMs)
+	if s.Policy == "" {
+		s.Policy = PolicyHedged
+	}
 	return firstErr(
+		oneOf("policy", s.Policy, PolicyHedged, PolicyNaive),
+		between("hedge_budget_percent", s.HedgeBudgetPct, 0, 100),
+		positive("hedge_min_ms", s.HedgeMinMs),
 		required("name", s.Name),
 		required("zone", s.Zone),
 		hostPort("listen", s.Listen),
@@ -269,6 +292,22 @@
 	return nil
 }
 
+func oneOf(field, v string, allowed ...string) error {
+	for _, a := range allowed {
+		if v == a {
+			return nil
+		}
+	}
+	return invalid(field, "must be one of %v, got %q", allowed, v)
+}
+
+func between(field string, v, lo, hi int) error {
+	if v < lo || v > hi {
+		return invalid(field, "must be between %d and %d, got %d", lo, hi, v)
+	}
+	return nil
+}
+
 func firstErr(errs ...error) error {
 	for _, err := range errs {
 		if err != nil {
