--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -24,9 +24,18 @@
 // transportSlack is added to the caller's timeout for the HTTP round trip.
 const transportSlack = time.Second
 
+// defaultConns is the connection cap of a caller built by New.
+const defaultConns = 64
+
 // New builds a caller for client application appID with its key.
 func New(appID, key string) (*Client, error) {
-	h, err := service.NewClient(64, time.Second)
+	return NewWithConns(appID, key, defaultConns)
+}
+
+// NewWithConns builds a caller that keeps at most conns connections to an
+// entry instance, for load that needs more requests in flight than New's.
+func NewWithConns(appID, key string, conns int) (*Client, error) {
+	h, err := service.NewClient(conns, time.Second)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/cli/load.go
+++ b/pkg/cli/load.go
@@ -43,7 +43,7 @@
 		Use:   "load",
 		Short: "Send a bounded number of searches and print p50/p99/p99.9 and coverage",
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			cl, err := caller.New(f.app, f.key)
+			cl, err := caller.NewWithConns(f.app, f.key, max(concurrency, 1))
 			if err != nil {
 				return err
 			}
