--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -40,22 +40,22 @@
 
 // Entry is one entry instance.
 type Entry struct {
-	set      *settings.Entry
-	log      *logrus.Entry
-	metrics  *metrics.Set
-	srv      *service.Server
-	watcher  *platform.Watcher
-	backends *backendTable
-	budget   *hedgeBudget
-	pool     *ants.Pool
-	client   *service.Client
-	ctlHTTP  *service.Client
-	state    atomic.Int32
-	inFlight atomic.Int64
-	seq      atomic.Uint64
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
-	m        entryMetrics
+	set          *settings.Entry
+	log          *logrus.Entry
+	metrics      *metrics.Set
+	srv          *service.Server
+	watcher      *platform.Watcher
+	backends     *backendTable
+	budget       *hedgeBudget
+	pool         *ants.Pool
+	client       *service.Client
+	platformHTTP *service.Client
+	state        atomic.Int32
+	inFlight     atomic.Int64
+	seq          atomic.Uint64
+	cancel       context.CancelFunc
+	wg           sync.WaitGroup
+	stats        entryMetrics
 }
 
 // New builds an entry instance from checked settings.
@@ -68,14 +68,14 @@
 	if e.client, err = service.NewClient(s.ConnsPerBackend, dialTimeout); err != nil {
 		return nil, err
 	}
-	if e.ctlHTTP, err = service.NewClient(2, time.Second); err != nil {
+	if e.platformHTTP, err = service.NewClient(2, time.Second); err != nil {
 		return nil, err
 	}
 	if e.watcher, err = platform.NewWatcher(s.Platform, e.metrics, log); err != nil {
 		return nil, err
 	}
 	e.watcher.OnApply(e.followConfig)
-	e.m = newEntryMetrics(e.metrics)
+	e.stats = newEntryMetrics(e.metrics)
 	e.metrics.NewGauge("entry_requests_in_flight", func() float64 { return float64(e.inFlight.Load()) })
 	e.metrics.NewGauge("entry_config_version", func() float64 { return float64(e.watcher.Version()) })
 	if e.srv, err = service.Listen(s.Listen, settings.Duration(s.MaxTimeoutMs), e.metrics, e.State, nil); err != nil {
@@ -93,7 +93,7 @@
 	// The watches are not waited for at stop: they write nothing, and
 	// their long polls end by themselves within the watch timeout.
 	go e.watcher.Run(ctx)
-	go platform.WatchInstances(ctx, e.ctlHTTP, e.set.Platform, e.followInstance)
+	go platform.WatchInstances(ctx, e.platformHTTP, e.set.Platform, e.followInstance)
 	e.wg.Add(1)
 	go func() { defer e.wg.Done(); e.runTicks(ctx) }()
 	e.srv.Start()
@@ -116,10 +116,10 @@
 func (e *Entry) Stop(ctx context.Context) error {
 	e.state.Store(stateLeaving)
 	e.log.Info("leaving")
-	sleepCtx(ctx, settings.Duration(e.set.DrainGraceMs))
+	service.Sleep(ctx, settings.Duration(e.set.DrainGraceMs))
 	e.state.Store(stateStopping)
 	for e.inFlight.Load() > 0 && ctx.Err() == nil {
-		sleepCtx(ctx, 5*time.Millisecond)
+		service.Sleep(ctx, 5*time.Millisecond)
 	}
 	err := e.srv.StopIdle(ctx)
 	e.cancel()
@@ -129,15 +129,6 @@
 	return err
 }
 
-func sleepCtx(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
-
 // State is the dump served at /debug/state.
 func (e *Entry) State() any {
 	return State{
--- a/pkg/entry/fanout.go
+++ b/pkg/entry/fanout.go
@@ -85,7 +85,7 @@
 		}
 	}
 	for _, m := range a.Missing {
-		e.m.missing(m.Code)
+		e.stats.missing(m.Code)
 	}
 	sort.Strings(a.Covered)
 	sort.Slice(a.Missing, func(i, j int) bool { return a.Missing[i].Shard < a.Missing[j].Shard })
@@ -112,7 +112,7 @@
 			break
 		}
 		if i > 0 {
-			e.m.retries.Inc()
+			e.stats.retries.Inc()
 		}
 		last = e.send(ctx, c, leaf)
 		if !retryable(leaf.Kind, last.code) {
@@ -140,7 +140,7 @@
 
 // send makes one leaf call and checks that the reply belongs to it.
 func (e *Entry) send(ctx context.Context, c candidate, leaf wire.LeafRequest) shardResult {
-	e.m.leafCalls.Inc()
+	e.stats.leafCalls.Inc()
 	c.row.inFlight.Add(1)
 	defer c.row.inFlight.Add(-1)
 	start := time.Now()
@@ -161,7 +161,7 @@
 	// A reply for another request, shard or snapshot would put someone
 	// else's rows in this answer; it is refused and counted.
 	if resp.RequestID != leaf.RequestID || resp.Shard != leaf.Shard || resp.Snapshot != leaf.Snapshot {
-		e.m.mismatched.Inc()
+		e.stats.mismatched.Inc()
 		return shardResult{shard: leaf.Shard, code: errcode.ShardFailed, msg: "reply did not match the request"}
 	}
 	return shardResult{shard: leaf.Shard, code: resp.Code, msg: resp.Message, hits: resp.Hits, held: resp.Held}
--- a/pkg/entry/handlers.go
+++ b/pkg/entry/handlers.go
@@ -111,7 +111,7 @@
 	}
 	if e.inFlight.Add(1) > int64(e.set.MaxInFlight) {
 		e.inFlight.Add(-1)
-		e.m.shed.Inc()
+		e.stats.shed.Inc()
 		return nil, ptr(e.refusal(id, errcode.EntryOverloaded, "too many requests in flight"))
 	}
 	return &call{id: id, cfg: cfg, dep: dep, index: ix, deadline: time.Now().Add(timeout)}, nil
@@ -140,7 +140,7 @@
 
 func (e *Entry) reply(c *app.RequestContext, path string, a wire.Answer) {
 	code := a.Code
-	e.m.answered(path, code)
+	e.stats.answered(path, code)
 	if a.RetryAfterMs > 0 {
 		c.Header(wire.HeaderRetryAfter, strconv.Itoa((a.RetryAfterMs+999)/1000))
 	}
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -96,11 +96,11 @@
 				return r
 			}
 			if retryable(leaf.Kind, r.code) && more() && launch() {
-				e.m.retries.Inc()
+				e.stats.retries.Inc()
 			}
 		case <-timer.C:
 			if more() && e.budget.take() && launch() {
-				e.m.hedges.Inc()
+				e.stats.hedges.Inc()
 			}
 		case <-ctx.Done():
 			return shardResult{shard: leaf.Shard, code: errcode.ShardTimeout, msg: "deadline passed"}
--- a/pkg/platform/instances.go
+++ b/pkg/platform/instances.go
@@ -33,7 +33,7 @@
 }
 
 func (p *Server) handleInstances(_ context.Context, c *app.RequestContext) {
-	p.instCall.Inc()
+	p.instanceCalls.Inc()
 	_, _, code := p.served()
 	if code != errcode.OK {
 		refuse(c, code)
@@ -83,7 +83,7 @@
 // handleInstanceWatch answers with the rows reported since version after,
 // as soon as any is visible, or with none at the watch timeout.
 func (p *Server) handleInstanceWatch(ctx context.Context, c *app.RequestContext) {
-	p.instCall.Inc()
+	p.instanceCalls.Inc()
 	if _, _, code := p.served(); code != errcode.OK {
 		refuse(c, code)
 		return
--- a/pkg/platform/server.go
+++ b/pkg/platform/server.go
@@ -52,21 +52,21 @@
 
 // Server is the platform stand-in.
 type Server struct {
-	set      *settings.Platform
-	srv      *service.Server
-	metrics  *metrics.Set
-	limiter  *rate.Limiter
-	mu       sync.Mutex
-	history  []*topology.Config
-	mode     Mode
-	stale    *topology.Config
-	changed  chan struct{}
-	events   []instanceEvent
-	calls    *metrics.Counter
-	instCall *metrics.Counter
-	refused  *metrics.Counter
-	accepted *metrics.Counter
-	conflict *metrics.Counter
+	set           *settings.Platform
+	srv           *service.Server
+	metrics       *metrics.Set
+	limiter       *rate.Limiter
+	mu            sync.Mutex
+	history       []*topology.Config
+	mode          Mode
+	stale         *topology.Config
+	changed       chan struct{}
+	events        []instanceEvent
+	calls         *metrics.Counter
+	instanceCalls *metrics.Counter
+	refused       *metrics.Counter
+	accepted      *metrics.Counter
+	conflict      *metrics.Counter
 }
 
 type instanceEvent struct {
@@ -89,7 +89,7 @@
 	}
 	p.history = []*topology.Config{initial}
 	p.calls = p.metrics.NewCounter("platform_calls_total")
-	p.instCall = p.metrics.NewCounter("platform_instance_calls_total")
+	p.instanceCalls = p.metrics.NewCounter("platform_instance_calls_total")
 	p.refused = p.metrics.NewCounter("platform_reads_refused_total")
 	p.accepted = p.metrics.NewCounter(`platform_patches_total{result="accepted"}`)
 	p.conflict = p.metrics.NewCounter(`platform_patches_total{result="refused"}`)
@@ -126,7 +126,7 @@
 func (p *Server) Calls() uint64 { return p.calls.Get() }
 
 // InstanceCalls is the part of Calls made to the instance list.
-func (p *Server) InstanceCalls() uint64 { return p.instCall.Get() }
+func (p *Server) InstanceCalls() uint64 { return p.instanceCalls.Get() }
 
 // Current returns the newest accepted configuration.
 func (p *Server) Current() *topology.Config {
--- a/pkg/platform/watch.go
+++ b/pkg/platform/watch.go
@@ -74,7 +74,7 @@
 		cfg, err := w.watch(ctx, w.Version())
 		if err != nil {
 			w.failed.Inc()
-			sleep(ctx, backoff)
+			service.Sleep(ctx, backoff)
 			backoff = min(backoff*2, backoffMax)
 			continue
 		}
@@ -132,7 +132,7 @@
 		url := fmt.Sprintf("http://%s%s?after=%d", addr, PathInstanceWatch, version)
 		status, err := c.Do(ctx, "GET", url, nil, nil, &d, time.Now().Add(watchTimeout+time.Second))
 		if err != nil || status != 200 {
-			sleep(ctx, backoff)
+			service.Sleep(ctx, backoff)
 			backoff = min(backoff*2, backoffMax)
 			continue
 		}
@@ -143,12 +143,3 @@
 		version = d.Version
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -114,6 +114,16 @@
 // Log is a structured logger with the process's name and zone on every line.
 type Log = logrus.Entry
 
+// Sleep waits for d or until ctx ends, whichever is first.
+func Sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
+
 // Logger returns a JSON logrus logger with the process name and zone on
 // every line.
 func Logger(process, name, zone string) *Log {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -7,10 +7,8 @@
 
 import (
 	"bytes"
-	"net"
 	"os"
 	"strconv"
-	"time"
 
 	"gopkg.in/yaml.v3"
 
@@ -108,32 +106,29 @@
 	DatasetBeds  = "beds"
 )
 
-// LoadEntry reads and checks an entry instance's settings file.
-func LoadEntry(path string) (*Entry, error) {
-	var s Entry
-	if err := decode(path, &s); err != nil {
-		return nil, err
-	}
-	return &s, s.Check()
+// checked is a settings type whose Check fills defaults and validates.
+type checked[T any] interface {
+	*T
+	Check() error
 }
 
-// LoadBackend reads and checks a backend server stand-in's settings file.
-func LoadBackend(path string) (*Backend, error) {
-	var s Backend
+// load reads path into a new T and checks it.
+func load[T any, P checked[T]](path string) (*T, error) {
+	var s T
 	if err := decode(path, &s); err != nil {
 		return nil, err
 	}
-	return &s, s.Check()
+	return &s, P(&s).Check()
 }
 
+// LoadEntry reads and checks an entry instance's settings file.
+func LoadEntry(path string) (*Entry, error) { return load[Entry](path) }
+
+// LoadBackend reads and checks a backend server stand-in's settings file.
+func LoadBackend(path string) (*Backend, error) { return load[Backend](path) }
+
 // LoadPlatform reads and checks the platform stand-in's settings file.
-func LoadPlatform(path string) (*Platform, error) {
-	var s Platform
-	if err := decode(path, &s); err != nil {
-		return nil, err
-	}
-	return &s, s.Check()
-}
+func LoadPlatform(path string) (*Platform, error) { return load[Platform](path) }
 
 func decode(path string, out any) error {
 	raw, err := os.ReadFile(path)
@@ -236,83 +231,3 @@
 	}
 	return nil
 }
-
-// Duration converts a millisecond setting.
-func Duration(ms int) time.Duration { return time.Duration(ms) * time.Millisecond }
-
-func fillInt(v *int, def int) {
-	if *v == 0 {
-		*v = def
-	}
-}
-
-func invalid(field, format string, args ...any) error {
-	return errcode.New(errcode.SettingsInvalid, "setting "+field+": "+format, args...)
-}
-
-func required(field, v string) error {
-	if v == "" {
-		return invalid(field, "is required")
-	}
-	return nil
-}
-
-func hostPort(field, v string) error {
-	if _, _, err := net.SplitHostPort(v); err != nil {
-		return invalid(field, "must be host:port, got %q", v)
-	}
-	return nil
-}
-
-func positive(field string, v int) error {
-	if v <= 0 {
-		return invalid(field, "must be positive, got %d", v)
-	}
-	return nil
-}
-
-func nonNegative(field string, v int) error {
-	if v < 0 {
-		return invalid(field, "must not be negative, got %d", v)
-	}
-	return nil
-}
-
-func atLeast(field string, v, min int) error {
-	if v < min {
-		return invalid(field, "must be at least %d, got %d", min, v)
-	}
-	return nil
-}
-
-func atMost(field string, v, max int) error {
-	if v > max {
-		return invalid(field, "must be at most %d, got %d", max, v)
-	}
-	return nil
-}
-
-func oneOf(field, v string, allowed ...string) error {
-	for _, a := range allowed {
-		if v == a {
-			return nil
-		}
-	}
-	return invalid(field, "must be one of %v, got %q", allowed, v)
-}
-
-func between(field string, v, lo, hi int) error {
-	if v < lo || v > hi {
-		return invalid(field, "must be between %d and %d, got %d", lo, hi, v)
-	}
-	return nil
-}
-
-func firstErr(errs ...error) error {
-	for _, err := range errs {
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/pkg/topology/topology.go
+++ b/pkg/topology/topology.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
@@ -68,65 +69,43 @@
 	Addr string `json:"addr" yaml:"addr"`
 }
 
-// Deployment returns the named brand deployment.
-func (c *Config) Deployment(name string) (*Deployment, bool) {
-	for i := range c.Deployments {
-		if c.Deployments[i].Name == name {
-			return &c.Deployments[i], true
+// find returns the first item whose key is want.
+func find[T any](items []T, key func(*T) string, want string) (*T, bool) {
+	for i := range items {
+		if key(&items[i]) == want {
+			return &items[i], true
 		}
 	}
 	return nil, false
 }
 
+// Deployment returns the named brand deployment.
+func (c *Config) Deployment(name string) (*Deployment, bool) {
+	return find(c.Deployments, func(d *Deployment) string { return d.Name }, name)
+}
+
 // Backend returns the named backend server.
 func (c *Config) Backend(name string) (*BackendServer, bool) {
-	for i := range c.Backends {
-		if c.Backends[i].Name == name {
-			return &c.Backends[i], true
-		}
-	}
-	return nil, false
+	return find(c.Backends, func(b *BackendServer) string { return b.Name }, name)
 }
 
 // Index returns the named index of the deployment.
 func (d *Deployment) Index(name string) (*Index, bool) {
-	for i := range d.Indexes {
-		if d.Indexes[i].Name == name {
-			return &d.Indexes[i], true
-		}
-	}
-	return nil, false
+	return find(d.Indexes, func(ix *Index) string { return ix.Name }, name)
 }
 
 // Client returns the client application with the given ID.
 func (d *Deployment) Client(id string) (*ClientApp, bool) {
-	for i := range d.Clients {
-		if d.Clients[i].ID == id {
-			return &d.Clients[i], true
-		}
-	}
-	return nil, false
+	return find(d.Clients, func(a *ClientApp) string { return a.ID }, id)
 }
 
 // Shard returns the shard with the given ID.
 func (ix *Index) Shard(id string) (*Shard, bool) {
-	for i := range ix.Shards {
-		if ix.Shards[i].ID == id {
-			return &ix.Shards[i], true
-		}
-	}
-	return nil, false
+	return find(ix.Shards, func(s *Shard) string { return s.ID }, id)
 }
 
 // May reports whether the client application may search the index.
-func (a *ClientApp) May(index string) bool {
-	for _, n := range a.Indexes {
-		if n == index {
-			return true
-		}
-	}
-	return false
-}
+func (a *ClientApp) May(index string) bool { return slices.Contains(a.Indexes, index) }
 
 // Validate checks that names are unique and every leaf names a known backend
 // server. It returns an error carrying errcode.PatchInvalid.
