--- a/pkg/backend/control.go
+++ b/pkg/backend/control.go
@@ -33,6 +33,9 @@
 	// ActCrossReplies makes the server answer each request with the reply
 	// it made for the previous one, as a connection mix-up would.
 	ActCrossReplies Action = "cross_replies"
+	// ActCut drops every leaf request from the listed availability zones
+	// without a reply, as a network partition between zones does.
+	ActCut Action = "cut"
 )
 
 // Control is the body of a control request. DelayMs, Shards and Percent go
@@ -45,6 +48,7 @@
 	Shards   []string `json:"shards,omitempty"`
 	Index    string   `json:"index,omitempty"`
 	Snapshot int64    `json:"snapshot,omitempty"`
+	Zones    []string `json:"zones,omitempty"`
 }
 
 // Faults are the faults in force.
@@ -56,6 +60,7 @@
 	Frozen     bool     `json:"frozen,omitempty"`
 	Newest     bool     `json:"serve_newest,omitempty"`
 	Crossed    bool     `json:"cross_replies,omitempty"`
+	CutZones   []string `json:"cut_zones,omitempty"`
 }
 
 // slows decides whether one request to shard is slowed: stragglers come
@@ -117,6 +122,8 @@
 		b.faults.Newest = true
 	case ActCrossReplies:
 		b.faults.Crossed = true
+	case ActCut:
+		b.faults.CutZones = ctl.Zones
 	case ActHeal:
 		b.thawLocked()
 		b.faults = Faults{}
--- a/pkg/backend/leaf.go
+++ b/pkg/backend/leaf.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app"
@@ -21,6 +22,13 @@
 	// A frozen process answers nothing until it wakes; it then still holds
 	// the request it read before the freeze.
 	b.waitThawed()
+	if b.isCutFrom(req.FromZone) {
+		// A partition: the request never arrives. Hold the connection
+		// until the caller's deadline and answer nothing that counts.
+		time.Sleep(max(time.Until(time.UnixMilli(req.DeadlineUnixMs)), 0) + cutSlack)
+		c.AbortWithStatus(503)
+		return
+	}
 	b.received.Inc()
 	resp := b.serve(req)
 	resp.RequestID, resp.Shard = req.RequestID, req.Shard
@@ -76,6 +84,16 @@
 	return resp
 }
 
+// cutSlack keeps a partitioned request open past its deadline, so the
+// caller sees a timeout and not a reply.
+const cutSlack = 50 * time.Millisecond
+
+func (b *Server) isCutFrom(zone string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return zone != "" && slices.Contains(b.faults.CutZones, zone)
+}
+
 func refusal(code errcode.Code, draining bool) wire.LeafResponse {
 	return wire.LeafResponse{Code: code, Message: code.Name(), Draining: draining}
 }
--- a/pkg/demo/faults_test.go
+++ b/pkg/demo/faults_test.go
@@ -417,3 +417,48 @@
 	calls := s.c.Platform.InstanceCalls() - before
 	require.LessOrEqual(t, calls, uint64(len(s.c.Entries)), "instance list read more than once per entry in 2 s idle")
 }
+
+// TestZoneCutOffServesWhatItCan proves that an availability zone cut off
+// from the others and from the platform goes on serving what it can, says
+// which shards it lacks, and catches up when the cut heals.
+//
+// Symptom it guards against: a cut-off zone that stops answering, answers
+// without naming the shards it cannot reach, or reverts after the heal.
+// Sequence: shard s01 is moved to lj-a only; lj-b is then cut off from lj-a's
+// backend servers and from the platform; searches and a hold go through
+// lj-b's entry instances; an operator puts snapshot 2 in force meanwhile;
+// the cut heals.
+func TestZoneCutOffServesWhatItCan(t *testing.T) {
+	s := newSession(t, Lipovec, func(l *Layout) { l.Platform.WatchTimeoutMs = 200 })
+	dep := Deployment(Lipovec)
+	q := wire.SearchRequest{Deployment: dep, Index: "viewer-api", Text: "bolt", TimeoutMs: 150}
+	s.patch(topology.Patch{BaseVersion: 1, Ops: []topology.Op{{Kind: topology.OpSetLeafs, Deployment: dep, Index: "viewer-api", Shard: "s01", Leafs: []string{"lj-a-unit-1"}}}})
+	cut := []string{"lj-b"}
+	for _, name := range []string{"lj-a-unit-1", "lj-a-unit-2"} {
+		s.control(name, backend.Control{Action: backend.ActCut, Zones: cut})
+	}
+	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal, CutZones: cut})
+	s.note("lj-b cut off from lj-a and from the platform")
+	a := s.search("lj-b-entry-1", "cad-viewer", "cad-viewer-key", q)
+	require.Equal(t, []string{"s02", "s03", "s04"}, a.Covered)
+	h := wire.HoldRequest{Deployment: dep, Index: "viewer-api", Shard: "s01", Item: "PN-s01-101", IdempotencyKey: "order-cut-1", TimeoutMs: 150}
+	s.hold("lj-b-entry-2", "bom-panel", "bom-panel-key", h)
+	next, err := s.c.Platform.Submit(topology.Patch{BaseVersion: 2, Ops: []topology.Op{{Kind: topology.OpSetSnapshot, Deployment: dep, Index: "viewer-api", Snapshot: 2}}})
+	require.NoError(t, err)
+	time.Sleep(300 * time.Millisecond)
+	s.note("v%d accepted during the cut:%s", next.Version, s.versions())
+	s.search("lj-b-entry-1", "cad-viewer", "cad-viewer-key", q)
+	for _, name := range []string{"lj-a-unit-1", "lj-a-unit-2"} {
+		s.control(name, backend.Control{Action: backend.ActHeal})
+	}
+	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal})
+	require.NoError(t, s.c.WaitVersion(next.Version, 5*time.Second))
+	s.note("cut healed: every entry instance at v%d", next.Version)
+	s.hold("lj-b-entry-2", "bom-panel", "bom-panel-key", h)
+	require.Equal(t, uint64(1), s.holdsExecuted())
+	s.note("lj-b-entry-1 marked lj-a-unit-1 down during the cut; it is tried again after the 1 s cooldown")
+	time.Sleep(1200 * time.Millisecond)
+	a = s.search("lj-b-entry-1", "cad-viewer", "cad-viewer-key", q)
+	require.Len(t, a.Covered, 4)
+	s.golden("zone-cut")
+}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -71,7 +71,7 @@
 	if e.platformHTTP, err = service.NewClient(2, time.Second); err != nil {
 		return nil, err
 	}
-	if e.watcher, err = platform.NewWatcher(s.Platform, e.metrics, log); err != nil {
+	if e.watcher, err = platform.NewWatcher(s.Platform, s.Zone, e.metrics, log); err != nil {
 		return nil, err
 	}
 	e.watcher.OnApply(e.followConfig)
@@ -93,7 +93,7 @@
 	// The watches are not waited for at stop: they write nothing, and
 	// their long polls end by themselves within the watch timeout.
 	go e.watcher.Run(ctx)
-	go platform.WatchInstances(ctx, e.platformHTTP, e.set.Platform, e.followInstance)
+	go platform.WatchInstances(ctx, e.platformHTTP, e.set.Platform, e.set.Zone, e.followInstance)
 	e.wg.Add(1)
 	go func() { defer e.wg.Done(); e.runTicks(ctx) }()
 	e.srv.Start()
--- a/pkg/entry/fanout.go
+++ b/pkg/entry/fanout.go
@@ -43,6 +43,7 @@
 	leaf := wire.LeafRequest{
 		RequestID: cl.id, Kind: wire.LeafSearch, Index: cl.index.Name, Snapshot: cl.index.Snapshot,
 		Text: req.Text, Limit: req.Limit, DeadlineUnixMs: cl.deadline.Add(-replyMargin).UnixMilli(),
+		FromZone: e.set.Zone,
 	}
 	for _, s := range shards {
 		s := s
--- a/pkg/entry/hold.go
+++ b/pkg/entry/hold.go
@@ -24,6 +24,7 @@
 	leaf := wire.LeafRequest{
 		RequestID: cl.id, Kind: wire.LeafHold, Index: cl.index.Name, Snapshot: cl.index.Snapshot,
 		Item: req.Item, IdempotencyKey: req.IdempotencyKey, DeadlineUnixMs: cl.deadline.Add(-replyMargin).UnixMilli(),
+		FromZone: e.set.Zone,
 	}
 	r := e.callShard(ctx, leaf, s.Primary(), 1)
 	a := wire.Answer{RequestID: cl.id, Code: r.code, Snapshot: cl.index.Snapshot, Message: r.msg}
--- a/pkg/platform/instances.go
+++ b/pkg/platform/instances.go
@@ -84,6 +84,9 @@
 // as soon as any is visible, or with none at the watch timeout.
 func (p *Server) handleInstanceWatch(ctx context.Context, c *app.RequestContext) {
 	p.instanceCalls.Inc()
+	if p.partitioned(ctx, c) {
+		return
+	}
 	if _, _, code := p.served(); code != errcode.OK {
 		refuse(c, code)
 		return
--- a/pkg/platform/server.go
+++ b/pkg/platform/server.go
@@ -8,6 +8,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -45,9 +46,12 @@
 
 // Control is the body of a control request. StaleVersion, with ModeStale,
 // is the version served; 0 freezes the version current at the switch.
+// CutZones lists availability zones whose readers the service cannot reach
+// (a partition); it is kept across mode changes until set again.
 type Control struct {
-	Mode         Mode  `json:"mode"`
-	StaleVersion int64 `json:"stale_version,omitempty"`
+	Mode         Mode     `json:"mode"`
+	StaleVersion int64    `json:"stale_version,omitempty"`
+	CutZones     []string `json:"cut_zones,omitempty"`
 }
 
 // Server is the platform stand-in.
@@ -59,6 +63,7 @@
 	mu            sync.Mutex
 	history       []*topology.Config
 	mode          Mode
+	cut           []string
 	stale         *topology.Config
 	changed       chan struct{}
 	events        []instanceEvent
@@ -140,6 +145,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = c.Mode
+	p.cut = c.CutZones
 	p.stale = nil
 	if c.Mode == ModeStale {
 		p.stale = p.versionLocked(c.StaleVersion)
@@ -174,7 +180,24 @@
 	return p.history[len(p.history)-1], p.changed, errcode.OK
 }
 
-func (p *Server) handleRead(_ context.Context, c *app.RequestContext) {
+// partitioned holds a reader of a cut-off zone for the watch timeout and
+// refuses it, as a reader behind a partition sees nothing come back.
+func (p *Server) partitioned(ctx context.Context, c *app.RequestContext) bool {
+	zone := string(c.Query("zone"))
+	p.mu.Lock()
+	cut := zone != "" && slices.Contains(p.cut, zone)
+	p.mu.Unlock()
+	if cut {
+		service.Sleep(ctx, settings.Duration(p.set.WatchTimeoutMs))
+		refuse(c, errcode.PlatformUnavailable)
+	}
+	return cut
+}
+
+func (p *Server) handleRead(ctx context.Context, c *app.RequestContext) {
+	if p.partitioned(ctx, c) {
+		return
+	}
 	cfg, _, code := p.served()
 	if code != errcode.OK {
 		refuse(c, code)
@@ -184,6 +207,9 @@
 }
 
 func (p *Server) handleWatch(ctx context.Context, c *app.RequestContext) {
+	if p.partitioned(ctx, c) {
+		return
+	}
 	after, _ := strconv.ParseInt(string(c.Query("after")), 10, 64)
 	timeout := settings.Duration(p.set.WatchTimeoutMs)
 	if ms, err := strconv.Atoi(string(c.Query("timeout_ms"))); err == nil && ms > 0 && ms < p.set.WatchTimeoutMs {
--- a/pkg/platform/watch.go
+++ b/pkg/platform/watch.go
@@ -26,6 +26,7 @@
 // nothing to the service.
 type Watcher struct {
 	addr    string
+	zone    string
 	client  *service.Client
 	log     *logrus.Entry
 	current atomic.Pointer[topology.Config]
@@ -35,14 +36,16 @@
 	failed  *metrics.Counter
 }
 
-// NewWatcher builds a watcher of the configuration service at addr.
-func NewWatcher(addr string, set *metrics.Set, log *logrus.Entry) (*Watcher, error) {
+// NewWatcher builds a watcher of the configuration service at addr for a
+// reader in availability zone zone.
+func NewWatcher(addr, zone string, set *metrics.Set, log *logrus.Entry) (*Watcher, error) {
 	c, err := service.NewClient(2, time.Second)
 	if err != nil {
 		return nil, err
 	}
 	return &Watcher{
 		addr:    addr,
+		zone:    zone,
 		client:  c,
 		log:     log,
 		applied: set.NewCounter("config_versions_applied_total"),
@@ -108,7 +111,7 @@
 // watch long-polls for a version newer than after; a nil configuration
 // with no error means the watch ended with nothing newer.
 func (w *Watcher) watch(ctx context.Context, after int64) (*topology.Config, error) {
-	url := fmt.Sprintf("http://%s%s?after=%d&timeout_ms=%d", w.addr, PathWatch, after, watchTimeout.Milliseconds())
+	url := fmt.Sprintf("http://%s%s?after=%d&timeout_ms=%d&zone=%s", w.addr, PathWatch, after, watchTimeout.Milliseconds(), w.zone)
 	var reply wire.ConfigReply
 	status, err := w.client.Do(ctx, "GET", url, nil, nil, &reply, time.Now().Add(watchTimeout+time.Second))
 	if err != nil {
@@ -124,12 +127,12 @@
 // of changed rows and hands each row to apply, until ctx ends. Reading the
 // whole list on a timer would cost every node the whole list each period
 // (docs/CAPACITY.md); the watch costs one call per change or timeout.
-func WatchInstances(ctx context.Context, c *service.Client, addr string, apply func(wire.Instance)) {
+func WatchInstances(ctx context.Context, c *service.Client, addr, zone string, apply func(wire.Instance)) {
 	var version int64
 	backoff := backoffInitial
 	for ctx.Err() == nil {
 		var d wire.InstanceDelta
-		url := fmt.Sprintf("http://%s%s?after=%d", addr, PathInstanceWatch, version)
+		url := fmt.Sprintf("http://%s%s?after=%d&zone=%s", addr, PathInstanceWatch, version, zone)
 		status, err := c.Do(ctx, "GET", url, nil, nil, &d, time.Now().Add(watchTimeout+time.Second))
 		if err != nil || status != 200 {
 			service.Sleep(ctx, backoff)
--- a/pkg/platform/watch_test.go
+++ b/pkg/platform/watch_test.go
@@ -56,7 +56,7 @@
 // taken for failures and that a change after them is put in force.
 func TestWatcherFollowsAfterIdleRounds(t *testing.T) {
 	p := standIn(t, 30)
-	w, err := NewWatcher(p.Addr(), metrics.NewSet(), service.Logger("test", "w", "z"))
+	w, err := NewWatcher(p.Addr(), "z", metrics.NewSet(), service.Logger("test", "w", "z"))
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -102,6 +102,7 @@
 	Item           string   `json:"item,omitempty"`
 	IdempotencyKey string   `json:"idempotency_key,omitempty"`
 	DeadlineUnixMs int64    `json:"deadline_unix_ms"`
+	FromZone       string   `json:"from_zone,omitempty"`
 }
 
 // LeafResponse is a leaf's reply. It echoes RequestID, Shard and Snapshot so
