A watch answers a change with the patches since the reader's version

Cause: the configuration service answered every change with the whole configuration, though the reader already held the version each patch was made against. Ruled out: a diff of two configurations computed by the service (a second encoding of changes to keep right); the patches operators submit are already the change, and Apply is deterministic.

Change: the stand-in keeps each accepted patch beside its version; a watch from a version it accepted, at most 64 behind, gets the patches; the watcher applies them with the same Apply (counted in config_versions_patched_total) and reads the whole configuration if one does not apply. A stale service still answers with its older whole configuration, so the never-revert proof is unchanged.

--- a/pkg/platform/server.go
+++ b/pkg/platform/server.go
@@ -62,6 +62,7 @@
 	limiter       *rate.Limiter
 	mu            sync.Mutex
 	history       []*topology.Config
+	patches       []topology.Patch
 	mode          Mode
 	cut           []string
 	stale         *topology.Config
@@ -244,9 +245,30 @@
 		case <-ctx.Done():
 		}
 	}
+	if patches, ok := p.patchesSince(after, cfg.Version); ok {
+		c.JSON(200, wire.ConfigReply{Version: cfg.Version, Patches: patches})
+		return
+	}
 	c.JSON(200, wire.ConfigReply{Version: cfg.Version, Config: cfg})
 }
 
+// maxPatches bounds a patch reply; a reader further behind gets the whole
+// configuration, which is then the smaller message.
+const maxPatches = 64
+
+// patchesSince returns the patches that take a reader from version after
+// to version to, when the reader's version is one this service accepted
+// and it is not too far behind.
+func (p *Server) patchesSince(after, to int64) ([]topology.Patch, bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	first := p.history[0].Version
+	if after < first || to <= after || to-after > maxPatches {
+		return nil, false
+	}
+	return append([]topology.Patch(nil), p.patches[after-first:to-first]...), true
+}
+
 // peek reads without counting a call: a waiting watch counts once.
 func (p *Server) peek() (*topology.Config, <-chan struct{}) {
 	p.mu.Lock()
@@ -288,6 +310,7 @@
 		return nil, err
 	}
 	p.history = append(p.history, next)
+	p.patches = append(p.patches, patch)
 	close(p.changed)
 	p.changed = make(chan struct{})
 	return next, nil
--- a/pkg/platform/watch.go
+++ b/pkg/platform/watch.go
@@ -34,6 +34,8 @@
 	applied *metrics.Counter
 	ignored *metrics.Counter
 	failed  *metrics.Counter
+	// patchedCount counts versions reached by applying patches.
+	patchedCount *metrics.Counter
 }
 
 // NewWatcher builds a watcher of the configuration service at addr for a
@@ -44,13 +46,14 @@
 		return nil, err
 	}
 	return &Watcher{
-		addr:    addr,
-		zone:    zone,
-		client:  c,
-		log:     log,
-		applied: set.NewCounter("config_versions_applied_total"),
-		ignored: set.NewCounter("config_versions_ignored_total"),
-		failed:  set.NewCounter("config_watch_failures_total"),
+		addr:         addr,
+		zone:         zone,
+		client:       c,
+		log:          log,
+		applied:      set.NewCounter("config_versions_applied_total"),
+		ignored:      set.NewCounter("config_versions_ignored_total"),
+		failed:       set.NewCounter("config_watch_failures_total"),
+		patchedCount: set.NewCounter("config_versions_patched_total"),
 	}, nil
 }
 
@@ -120,6 +123,43 @@
 	if status != 200 {
 		return nil, fmt.Errorf("watch: status %d", status)
 	}
+	if len(reply.Patches) > 0 {
+		return w.patched(ctx, reply.Patches)
+	}
+	return reply.Config, nil
+}
+
+// patched applies patches to the configuration in force. Apply is the
+// service's own function, so the result is the version the service holds;
+// if a patch does not apply (the reader's version is not the one the
+// service assumed), the whole configuration is read instead.
+func (w *Watcher) patched(ctx context.Context, patches []topology.Patch) (*topology.Config, error) {
+	cfg := w.current.Load()
+	for _, p := range patches {
+		if cfg == nil {
+			return w.read(ctx)
+		}
+		next, err := cfg.Apply(p)
+		if err != nil {
+			return w.read(ctx)
+		}
+		cfg = next
+	}
+	w.patchedCount.Inc()
+	return cfg, nil
+}
+
+// read fetches the whole configuration.
+func (w *Watcher) read(ctx context.Context) (*topology.Config, error) {
+	var reply wire.ConfigReply
+	url := fmt.Sprintf("http://%s%s?zone=%s", w.addr, PathConfig, w.zone)
+	status, err := w.client.Do(ctx, "GET", url, nil, nil, &reply, time.Now().Add(time.Second))
+	if err != nil {
+		return nil, err
+	}
+	if status != 200 || reply.Config == nil {
+		return nil, fmt.Errorf("read: status %d", status)
+	}
 	return reply.Config, nil
 }
 
--- a/pkg/platform/watch_test.go
+++ b/pkg/platform/watch_test.go
@@ -68,6 +68,9 @@
 	require.NoError(t, err)
 	require.Eventually(t, func() bool { return w.Version() == 2 }, 2*time.Second, 5*time.Millisecond)
 	require.Zero(t, w.failed.Get())
+	require.Equal(t, uint64(1), w.patchedCount.Get(), "v2 was not reached by its patch")
+	ix, _ := mustIndex(t, w.Current())
+	require.Equal(t, int64(2), ix.Snapshot)
 }
 
 // TestChangeReachesWatcherAsPatch bounds the bytes a configuration change
@@ -87,8 +90,15 @@
 	var raw json.RawMessage
 	_, err = c.Do(context.Background(), "GET", "http://"+p.Addr()+PathWatch+"?after=1", nil, nil, &raw, time.Now().Add(time.Second))
 	require.NoError(t, err)
+	t.Logf("a one-op change: %d bytes", len(raw))
 	require.Less(t, len(raw), 1024, "a one-op change cost %d bytes", len(raw))
 	var reply wire.ConfigReply
 	require.NoError(t, json.Unmarshal(raw, &reply))
 	require.Equal(t, int64(2), reply.Version)
 }
+
+func mustIndex(t *testing.T, cfg *topology.Config) (*topology.Index, bool) {
+	d, ok := cfg.Deployment("d")
+	require.True(t, ok)
+	return d.Index("i")
+}
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -157,11 +157,13 @@
 }
 
 // ConfigReply wraps a configuration read or watch. Version is the version
-// the service has; Config is left out when a watch ends with nothing newer
-// than the reader's.
+// the service has. A watch answers with Patches, applied in order to the
+// reader's version, when that is cheaper than the whole Config; with
+// neither when it ends with nothing newer than the reader's.
 type ConfigReply struct {
 	Version int64            `json:"version"`
 	Config  *topology.Config `json:"config,omitempty"`
+	Patches []topology.Patch `json:"patches,omitempty"`
 }
 
 // Health is a process's health endpoint reply.
