Drop the latency deviation the hedge no longer reads

Reading the whole change again: observe() kept an EWMA of latency deviation for the first hedge delay (mean + 4 deviations).

Behaviour unchanged otherwise: go vet ./pkg/entry clean, go test ./pkg/demo ok (golden files untouched).

--- a/pkg/entry/tables.go
+++ b/pkg/entry/tables.go
@@ -26,7 +26,6 @@
 	Failures     int       `json:"failures"`
 	DownUntil    time.Time `json:"down_until,omitzero"`
 	LatencyMs    float64   `json:"latency_ms"`
-	DevMs        float64   `json:"latency_dev_ms"`
 	InFlight     int64     `json:"in_flight"`
 	inFlight     atomic.Int64
 	recent       [latencyWindow]float64
@@ -120,11 +119,6 @@
 	if ok {
 		row.Failures = 0
 		ms := float64(took) / float64(time.Millisecond)
-		dev := ms - row.LatencyMs
-		if dev < 0 {
-			dev = -dev
-		}
-		row.DevMs = row.DevMs*(1-ewmaWeight) + dev*ewmaWeight
 		row.LatencyMs = row.LatencyMs*(1-ewmaWeight) + ms*ewmaWeight
 		row.recent[row.samples%latencyWindow] = ms
 		row.samples++
@@ -197,7 +191,7 @@
 	for _, r := range t.rows {
 		out = append(out, backendRow{
 			Name: r.Name, Zone: r.Zone, Addr: r.Addr, Leaving: r.Leaving, LeavingSince: r.LeavingSince,
-			Failures: r.Failures, DownUntil: r.DownUntil, LatencyMs: r.LatencyMs, DevMs: r.DevMs, InFlight: r.inFlight.Load(),
+			Failures: r.Failures, DownUntil: r.DownUntil, LatencyMs: r.LatencyMs, InFlight: r.inFlight.Load(),
 		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
