A caller's deadline says little about a backend server; probe what is down

Cause: send() counted any leaf call that ended at its caller's deadline as a failure of the backend server, and two failures mark it down for a second. Ruled out: dropping the silence signal altogether (a frozen or cut-off server then holds every search to its deadline).

Change: a silent call counts only after 100 ms and four times the server's mean latency. When every leaf of a shard is marked down, a search probes one that has nothing in flight instead of listing the shard missing unsent (a hold still does not: unsent is what makes its refusal true), and a reply clears the mark.

--- a/pkg/entry/fanout.go
+++ b/pkg/entry/fanout.go
@@ -100,7 +100,7 @@
 func (e *Entry) callShard(ctx context.Context, leaf wire.LeafRequest, s topology.Shard, attempts int) shardResult {
 	leaf.Shard = s.ID
 	hedged := e.set.Policy == settings.PolicyHedged
-	cands := e.backends.candidates(s.Leafs, e.set.Zone, time.Now(), hedged)
+	cands := e.backends.candidates(s.Leafs, e.set.Zone, time.Now(), hedged, leaf.Kind == wire.LeafSearch)
 	if len(cands) == 0 {
 		return shardResult{shard: s.ID, code: errcode.ShardUnavailable, msg: "no live leaf"}
 	}
@@ -150,13 +150,14 @@
 	_, err := e.client.Do(ctx, "POST", "http://"+c.addr+backend.PathLeaf, nil, leaf, &resp, deadline)
 	took := time.Since(start)
 	if err != nil {
-		e.backends.observe(c.row, took, false, false, time.Now())
 		if ctx.Err() != nil || !time.Now().Before(deadline) {
+			e.backends.observe(c.row, took, silent, false, time.Now())
 			return shardResult{shard: leaf.Shard, code: errcode.ShardTimeout, msg: "deadline passed"}
 		}
+		e.backends.observe(c.row, took, failed, false, time.Now())
 		return shardResult{shard: leaf.Shard, code: errcode.ShardFailed, msg: err.Error()}
 	}
-	if e.backends.observe(c.row, took, true, resp.Draining, time.Now()) {
+	if e.backends.observe(c.row, took, answered, resp.Draining, time.Now()) {
 		e.log.WithField("backend", c.row.Name).Info("backend server leaving")
 	}
 	// A reply for another request, shard or snapshot would put someone
--- a/pkg/entry/tables.go
+++ b/pkg/entry/tables.go
@@ -14,6 +14,23 @@
 	downAfterFailures = 2
 	downCooldown      = time.Second
 	ewmaWeight        = 0.2
+	// A leaf call that runs into its caller's deadline counts against the
+	// backend server only after silentMin and silentFactor times the
+	// server's mean latency.
+	silentMin    = 100 * time.Millisecond
+	silentFactor = 4
+)
+
+// outcome is what one leaf call says about its backend server.
+type outcome int
+
+const (
+	// answered: a reply came, whatever it said.
+	answered outcome = iota
+	// failed: the connection was refused or lost.
+	failed
+	// silent: no reply before the caller's deadline.
+	silent
 )
 
 // backendRow is the entry instance's view of one backend server.
@@ -83,18 +100,28 @@
 
 // candidates orders the usable leafs of a shard: own zone first, then, when
 // byLoad is set, fewest requests in flight and lowest measured latency,
-// then the configured order. Leaving servers and servers marked down are
-// left out.
-func (t *backendTable) candidates(leafs []string, zone string, now time.Time, byLoad bool) []candidate {
+// then the configured order. Leaving servers are left out, and servers
+// marked down too; when that leaves none and probe is set, one that is
+// marked down and has nothing in flight is returned, so that a mark made by
+// mistake costs a shard's coverage no longer than one leaf call, while a
+// server that is really gone holds up one request at a time.
+func (t *backendTable) candidates(leafs []string, zone string, now time.Time, byLoad, probe bool) []candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]candidate, 0, len(leafs))
+	var down *backendRow
 	for _, name := range leafs {
 		row, ok := t.rows[name]
-		if !ok || row.Leaving || now.Before(row.DownUntil) {
-			continue
+		switch {
+		case !ok || row.Leaving:
+		case !now.Before(row.DownUntil):
+			out = append(out, candidate{row: row, addr: row.Addr})
+		case down == nil && row.inFlight.Load() == 0:
+			down = row
 		}
-		out = append(out, candidate{row: row, addr: row.Addr})
+	}
+	if len(out) == 0 && probe && down != nil {
+		return []candidate{{row: down, addr: down.Addr}}
 	}
 	sort.SliceStable(out, func(i, j int) bool {
 		a, b := out[i].row, out[j].row
@@ -112,17 +139,15 @@
 	return out
 }
 
-// observe records the outcome of one call to a backend server.
-func (t *backendTable) observe(row *backendRow, took time.Duration, ok bool, leaving bool, now time.Time) (becameLeaving bool) {
+// observe records the outcome of one call to a backend server and reports
+// whether the reply showed for the first time that the server is leaving.
+func (t *backendTable) observe(row *backendRow, took time.Duration, what outcome, leaving bool, now time.Time) (becameLeaving bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if ok {
-		row.Failures = 0
-		ms := float64(took) / float64(time.Millisecond)
-		row.LatencyMs = row.LatencyMs*(1-ewmaWeight) + ms*ewmaWeight
-		row.recent[row.samples%latencyWindow] = ms
-		row.samples++
-	} else {
+	switch {
+	case what == answered:
+		row.answeredIn(float64(took) / float64(time.Millisecond))
+	case what == failed || row.tooSilent(took):
 		row.Failures++
 		if row.Failures >= downAfterFailures {
 			row.DownUntil = now.Add(downCooldown)
@@ -135,6 +160,25 @@
 	return false
 }
 
+// answeredIn records one reply's latency.
+func (r *backendRow) answeredIn(ms float64) {
+	r.Failures = 0
+	r.DownUntil = time.Time{}
+	r.LatencyMs = r.LatencyMs*(1-ewmaWeight) + ms*ewmaWeight
+	r.recent[r.samples%latencyWindow] = ms
+	r.samples++
+}
+
+// tooSilent reports whether a wait that ended at the caller's deadline says
+// something about the server. A caller may give less time than the server
+// ever takes; if that counted, a few searches with a 10 ms deadline would
+// mark every backend server down and all other callers would find every
+// shard missing (IY3002) although nothing is wrong.
+func (r *backendRow) tooSilent(waited time.Duration) bool {
+	mean := time.Duration(r.LatencyMs * float64(time.Millisecond))
+	return waited >= max(silentMin, silentFactor*mean)
+}
+
 // quantile returns the q-quantile of the row's recent latencies in ms, and
 // false while it has fewer than a window of samples.
 func (t *backendTable) quantile(row *backendRow, q float64) (float64, bool) {
