--- a/pkg/demo/policy_test.go
+++ b/pkg/demo/policy_test.go
@@ -1,12 +1,17 @@
 package demo
 
 import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/indigoyoke/indigoyoke/pkg/backend"
+	"github.com/indigoyoke/indigoyoke/pkg/entry"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
@@ -38,3 +43,54 @@
 	require.Len(t, a.Covered, 4, "another caller's short deadline took backend servers out")
 	s.golden("impatient-caller")
 }
+
+// TestCallerLeavesLeafsStop proves that leafs stop working for a caller
+// that has gone.
+//
+// Symptom: backend servers go on working, slots taken, for searches nobody
+// waits for.
+// Sequence: every backend server takes 400 ms; a caller sends a search with
+// 2 s and closes its connection after 100 ms.
+// Cause: the entry instance neither noticed the closed connection nor told
+// the leafs.
+func TestCallerLeavesLeafsStop(t *testing.T) {
+	s := newSession(t, Lipovec)
+	dep := Deployment(Lipovec)
+	var before uint64
+	for _, name := range []string{"lj-a-unit-1", "lj-a-unit-2", "lj-b-unit-1", "lj-b-unit-2"} {
+		s.control(name, backend.Control{Action: backend.ActSlow, DelayMs: 400})
+		before += s.c.Backends[name].Executed()
+	}
+	q := wire.SearchRequest{Deployment: dep, Index: "viewer-api", Text: "bolt", TimeoutMs: 2000}
+	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+	defer cancel()
+	err := s.searchAndLeave(ctx, "lj-a-entry-1", q)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	time.Sleep(time.Second)
+	var ran, received uint64
+	for _, b := range s.c.Backends {
+		ran += b.Executed()
+		received += b.Received()
+	}
+	require.GreaterOrEqual(t, received, uint64(4))
+	s.note("the caller left after 100 ms; leaf requests that ran to the end anyway: %d", ran-before)
+	require.Equal(t, before, ran, "leafs went on working for a caller that has gone")
+	s.golden("caller-leaves")
+}
+
+// searchAndLeave sends a search on a connection of its own and closes it
+// when ctx ends.
+func (s *session) searchAndLeave(ctx context.Context, entryName string, q wire.SearchRequest) error {
+	body, err := json.Marshal(q)
+	require.NoError(s.t, err)
+	url := "http://" + s.c.Entries[entryName].Addr() + entry.PathSearch
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	require.NoError(s.t, err)
+	req.Header.Set(wire.HeaderClientID, "cad-viewer")
+	req.Header.Set(wire.HeaderClientKey, "cad-viewer-key")
+	resp, err := http.DefaultClient.Do(req)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	return err
+}
