--- a/pkg/backend/leaf.go
+++ b/pkg/backend/leaf.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"time"
 
@@ -57,20 +58,18 @@
 // serve runs one leaf request and returns its reply. Every refusal before
 // the work starts carries a code whose NotRun is true.
 func (b *Server) serve(req wire.LeafRequest) wire.LeafResponse {
-	deadline := time.UnixMilli(req.DeadlineUnixMs)
 	if code := b.admit(req); code != errcode.OK {
 		return refusal(code, b.isDraining())
 	}
-	if !b.acquire(deadline) {
+	ctx, end := b.begin(req)
+	defer end()
+	if !b.acquire(ctx) {
 		b.shed.Inc()
 		return refusal(errcode.ShardRefused, b.isDraining())
 	}
 	defer b.release()
-	if !b.wait(req.Shard, deadline) {
-		// The caller has given up; starting now would do work nobody reads
-		// and, for a hold, would act after the entry answered "unknown".
-		b.late.Inc()
-		return refusal(errcode.ShardTimeout, b.isDraining())
+	if err := b.wait(ctx, req.Shard); err != nil {
+		return refusal(b.abandoned(err), b.isDraining())
 	}
 	b.executed.Inc()
 	resp := wire.LeafResponse{Code: errcode.OK, Draining: b.isDraining()}
@@ -84,6 +83,17 @@
 	return resp
 }
 
+// abandoned counts a leaf request given up before its work was done, and
+// returns its code.
+func (b *Server) abandoned(err error) errcode.Code {
+	if errors.Is(err, context.Canceled) {
+		b.stopped.Inc()
+		return errcode.ShardCancelled
+	}
+	b.late.Inc()
+	return errcode.ShardTimeout
+}
+
 // cutSlack keeps a partitioned request open past its deadline, so the
 // caller sees a timeout and not a reply.
 const cutSlack = 50 * time.Millisecond
@@ -148,16 +158,14 @@
 	return b.draining
 }
 
-func (b *Server) acquire(deadline time.Time) bool {
-	wait := min(time.Until(deadline), shedWait)
-	if wait <= 0 {
-		return false
-	}
-	t := time.NewTimer(wait)
+func (b *Server) acquire(ctx context.Context) bool {
+	t := time.NewTimer(shedWait)
 	defer t.Stop()
 	select {
 	case b.slots <- struct{}{}:
 		return true
+	case <-ctx.Done():
+		return false
 	case <-t.C:
 		return false
 	}
@@ -165,16 +173,13 @@
 
 func (b *Server) release() { <-b.slots }
 
-// wait sleeps for the service time of the request (cold start and the slow
-// fault) and reports whether the deadline still holds after it.
-func (b *Server) wait(shard string, deadline time.Time) bool {
-	d := b.serviceTime(shard)
-	if time.Now().Add(d).After(deadline) {
-		time.Sleep(max(time.Until(deadline), 0))
-		return false
-	}
-	time.Sleep(d)
-	return true
+// wait works for the service time of the request (cold start and the slow
+// fault) and returns the context's error when that ended first: the caller
+// has given up, so finishing would do work nobody reads and, for a hold,
+// would act after the entry answered "unknown".
+func (b *Server) wait(ctx context.Context, shard string) error {
+	service.Sleep(ctx, b.serviceTime(shard))
+	return ctx.Err()
 }
 
 func (b *Server) serviceTime(shard string) time.Duration {
--- a/pkg/backend/server.go
+++ b/pkg/backend/server.go
@@ -26,6 +26,7 @@
 // Paths of the backend server stand-in.
 const (
 	PathLeaf    = "/v1/leaf"
+	PathCancel  = "/v1/leaf/cancel"
 	PathControl = "/control"
 )
 
@@ -63,6 +64,8 @@
 	health   []healthAt
 	// lastReply feeds the cross_replies fault.
 	lastReply *wire.LeafResponse
+	// searches holds the searches at work, each with what ends it early.
+	searches map[searchKey]context.CancelFunc
 	// refusedDraining holds the IDs of the requests refused while draining.
 	refusedDraining map[string]bool
 
@@ -72,6 +75,7 @@
 	holdsRun *metrics.Counter
 	replayed *metrics.Counter
 	late     *metrics.Counter
+	stopped  *metrics.Counter
 }
 
 type healthAt struct {
@@ -94,6 +98,7 @@
 		thawed:  closedChan(),
 		report:  report,
 
+		searches:        map[searchKey]context.CancelFunc{},
 		refusedDraining: map[string]bool{},
 	}
 	for _, l := range s.Leafs {
@@ -105,6 +110,7 @@
 	b.holdsRun = b.metrics.NewCounter("backend_holds_executed_total")
 	b.replayed = b.metrics.NewCounter("backend_holds_replayed_total")
 	b.late = b.metrics.NewCounter("backend_leaf_past_deadline_total")
+	b.stopped = b.metrics.NewCounter("backend_leaf_cancelled_total")
 	wrap := func(ln net.Listener) net.Listener {
 		b.ln = newLimitListener(ln, s.MaxConns)
 		return b.ln
@@ -117,6 +123,7 @@
 	b.metrics.NewGauge("backend_conns_open", func() float64 { return float64(b.ln.open.Load()) })
 	b.metrics.NewGauge("backend_conns_refused", func() float64 { return float64(b.ln.refused.Load()) })
 	srv.H.POST(PathLeaf, b.handleLeaf)
+	srv.H.POST(PathCancel, b.handleCancel)
 	srv.H.POST(PathControl, b.handleControl)
 	srv.H.GET(service.PathHealth, b.handleHealth)
 	return b, nil
--- a/pkg/entry/fanout.go
+++ b/pkg/entry/fanout.go
@@ -5,7 +5,6 @@
 	"sort"
 	"time"
 
-	"github.com/indigoyoke/indigoyoke/pkg/backend"
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
@@ -30,141 +29,196 @@
 	held  *wire.HoldResult
 }
 
+// shardRow is one shard's row in the table of a fan-out.
+type shardRow struct {
+	cands []candidate
+	// waiting marks the attempts sent and not yet answered.
+	waiting [maxAttempts]bool
+	sent    int
+	pending int
+	// hedgeAt is when a second request is due; zero: never.
+	hedgeAt time.Time
+	done    bool
+	result  shardResult
+}
+
+// leafReply is one leaf call's outcome on its way to the gather loop.
+type leafReply struct {
+	shard   int
+	attempt int
+	result  shardResult
+}
+
+// fanout is one search in flight: a table of its shards, run by one gather
+// loop that takes replies, retries, hedges and the deadline in turn.
+type fanout struct {
+	e      *Entry
+	ctx    context.Context
+	leaf   wire.LeafRequest
+	shards []topology.Shard
+	rows   []shardRow
+	// replies is buffered for every attempt there can be and owned by this
+	// request alone: a reply that comes after the answer was written lands
+	// here and is dropped with the channel, never in another caller's
+	// answer.
+	replies chan leafReply
+	open    int
+}
+
 // search fans req out to every shard of the pinned index at the pinned
-// snapshot and gathers until every shard answered or the deadline came.
+// snapshot and gathers until every shard answered, the deadline came or the
+// caller left.
 func (e *Entry) search(ctx context.Context, cl *call, req wire.SearchRequest) wire.Answer {
 	ctx, cancel := context.WithDeadline(ctx, cl.deadline.Add(-replyMargin))
 	defer cancel()
-	shards := cl.index.Shards
-	// Buffered to the shard count and owned by this request alone: a reply
-	// that comes after the answer was written lands here and is dropped
-	// with the channel, never in another caller's answer.
-	results := make(chan shardResult, len(shards))
-	leaf := wire.LeafRequest{
-		RequestID: cl.id, Kind: wire.LeafSearch, Index: cl.index.Name, Snapshot: cl.index.Snapshot,
-		Text: req.Text, Limit: req.Limit, DeadlineUnixMs: cl.deadline.Add(-replyMargin).UnixMilli(),
-		FromZone: e.set.Zone,
+	f := &fanout{
+		e: e, ctx: ctx, shards: cl.index.Shards,
+		rows:    make([]shardRow, len(cl.index.Shards)),
+		replies: make(chan leafReply, len(cl.index.Shards)*maxAttempts),
+		leaf: wire.LeafRequest{
+			RequestID: cl.id, Kind: wire.LeafSearch, Index: cl.index.Name, Snapshot: cl.index.Snapshot,
+			Text: req.Text, Limit: req.Limit, DeadlineUnixMs: cl.deadline.Add(-replyMargin).UnixMilli(),
+			FromZone: e.set.Zone,
+		},
 	}
-	for _, s := range shards {
-		s := s
-		task := func() { results <- e.callShard(ctx, leaf, s, maxAttempts) }
-		if err := e.pool.Submit(task); err != nil {
-			results <- shardResult{shard: s.ID, code: errcode.EntryOverloaded, msg: "worker pool full: not run"}
+	f.start()
+	f.gather()
+	return f.answer(cl)
+}
+
+// start sends the first request of every shard.
+func (f *fanout) start() {
+	now := time.Now()
+	hedged := f.e.set.Policy == settings.PolicyHedged
+	for i := range f.rows {
+		r := &f.rows[i]
+		r.result = shardResult{shard: f.shards[i].ID, code: errcode.ShardTimeout, msg: errcode.ShardTimeout.Name()}
+		r.cands = f.e.backends.candidates(f.shards[i].Leafs, f.e.set.Zone, now, hedged, true)
+		f.open++
+		switch {
+		case len(r.cands) == 0:
+			f.finish(i, shardResult{shard: f.shards[i].ID, code: errcode.ShardUnavailable, msg: "no live leaf"})
+		case !f.send(i):
+			f.finish(i, shardResult{shard: f.shards[i].ID, code: errcode.EntryOverloaded, msg: "worker pool full: not run"})
+		case hedged:
+			f.e.budget.deposit()
+			r.hedgeAt = now.Add(f.e.hedgeDelay(r.cands[0]))
 		}
 	}
-	got := e.gather(ctx, results, len(shards))
-	return e.assemble(cl, shards, got)
 }
 
-func (e *Entry) gather(ctx context.Context, results <-chan shardResult, n int) map[string]shardResult {
-	got := make(map[string]shardResult, n)
-	for len(got) < n {
-		select {
-		case r := <-results:
-			got[r.shard] = r
-		case <-ctx.Done():
-			return got
-		}
+// send submits the next attempt for shard i to the worker pool.
+func (f *fanout) send(i int) bool {
+	r := &f.rows[i]
+	c, attempt := r.cands[r.sent], r.sent
+	leaf := f.leaf
+	leaf.Shard = f.shards[i].ID
+	task := func() { f.replies <- leafReply{shard: i, attempt: attempt, result: f.e.send(f.ctx, c, leaf)} }
+	if f.e.pool.Submit(task) != nil {
+		return false
 	}
-	return got
+	r.waiting[attempt] = true
+	r.sent++
+	r.pending++
+	return true
 }
 
-// assemble writes the answer: every shard is either covered or missing with
-// a reason, and hits come only from covered shards.
-func (e *Entry) assemble(cl *call, shards []topology.Shard, got map[string]shardResult) wire.Answer {
-	a := wire.Answer{RequestID: cl.id, Code: errcode.OK, Snapshot: cl.index.Snapshot}
-	for _, s := range shards {
-		r, ok := got[s.ID]
-		switch {
-		case !ok:
-			a.Missing = append(a.Missing, wire.MissingShard{Shard: s.ID, Code: errcode.ShardTimeout, Reason: errcode.ShardTimeout.Name()})
-		case r.code != errcode.OK:
-			a.Missing = append(a.Missing, wire.MissingShard{Shard: s.ID, Code: r.code, Reason: r.msg})
-		default:
-			a.Covered = append(a.Covered, s.ID)
-			a.Hits = append(a.Hits, r.hits...)
+// another reports whether shard i has a leaf left to try.
+func (r *shardRow) another() bool { return r.sent < len(r.cands) && r.sent < maxAttempts }
+
+func (f *fanout) finish(i int, result shardResult) {
+	f.rows[i].result = result
+	f.rows[i].done = true
+	f.open--
+}
+
+// gather runs the fan-out until every shard is done or the context ends.
+func (f *fanout) gather() {
+	hedge := time.NewTimer(f.untilHedge(time.Now()))
+	defer hedge.Stop()
+	for f.open > 0 {
+		select {
+		case r := <-f.replies:
+			f.onReply(r)
+		case now := <-hedge.C:
+			f.hedgeDue(now)
+			hedge.Reset(f.untilHedge(now))
+		case <-f.ctx.Done():
+			f.onEnd()
+			return
 		}
 	}
-	for _, m := range a.Missing {
-		e.stats.missing(m.Code)
-	}
-	sort.Strings(a.Covered)
-	sort.Slice(a.Missing, func(i, j int) bool { return a.Missing[i].Shard < a.Missing[j].Shard })
-	wire.SortHits(a.Hits)
-	a.Partial = len(a.Missing) > 0
-	return a
 }
 
-// callShard sends leaf to one leaf of shard s, and to the next candidate
-// when the reply guarantees the first did not run, up to attempts leafs.
-func (e *Entry) callShard(ctx context.Context, leaf wire.LeafRequest, s topology.Shard, attempts int) shardResult {
-	leaf.Shard = s.ID
-	hedged := e.set.Policy == settings.PolicyHedged
-	cands := e.backends.candidates(s.Leafs, e.set.Zone, time.Now(), hedged, leaf.Kind == wire.LeafSearch)
-	if len(cands) == 0 {
-		return shardResult{shard: s.ID, code: errcode.ShardUnavailable, msg: "no live leaf"}
+// onReply takes one leaf call's outcome: the first good reply of a shard
+// wins, and a failed one moves on to the next leaf at once.
+func (f *fanout) onReply(reply leafReply) {
+	r := &f.rows[reply.shard]
+	r.pending--
+	r.waiting[reply.attempt] = false
+	if r.done {
+		return
 	}
-	if hedged && leaf.Kind == wire.LeafSearch {
-		return e.hedged(ctx, leaf, cands)
+	if reply.result.code == errcode.OK {
+		f.finish(reply.shard, reply.result)
+		f.cancelLosers(reply.shard)
+		return
 	}
-	last := shardResult{shard: s.ID, code: errcode.ShardUnavailable, msg: "no leaf tried"}
-	for i, c := range cands {
-		if i >= attempts || ctx.Err() != nil {
-			break
-		}
-		if i > 0 {
-			e.stats.retries.Inc()
+	r.result = reply.result
+	if retryable(reply.result.code) && r.another() && f.send(reply.shard) {
+		f.e.stats.retries.Inc()
+	}
+	if r.pending == 0 {
+		f.finish(reply.shard, reply.result)
+	}
+}
+
+// hedgeDue sends a second request for every shard whose first has not
+// answered within its hedge delay, as far as the budget goes.
+func (f *fanout) hedgeDue(now time.Time) {
+	for i := range f.rows {
+		r := &f.rows[i]
+		if r.done || r.hedgeAt.IsZero() || now.Before(r.hedgeAt) {
+			continue
 		}
-		last = e.send(ctx, c, leaf)
-		if !retryable(leaf.Kind, last.code) {
-			return last
+		r.hedgeAt = time.Time{}
+		if r.another() && f.e.budget.take() && f.send(i) {
+			f.e.stats.hedges.Inc()
 		}
 	}
-	return last
 }
 
-// retryable reports whether a shard may move to its next leaf after code.
-// A not-run reply always allows it. A search is a read, so a lost replica
-// (refused connection, dropped reply) may be retried on another one too;
-// without this, a replica killed without warning drops its shards from
-// every answer although other zones hold them. A hold moves only on not
-// run, and never past the deadline.
-func retryable(kind wire.LeafKind, code errcode.Code) bool {
-	switch {
-	case code == errcode.OK, code == errcode.ShardTimeout:
-		return false
-	case code.NotRun():
-		return true
+// untilHedge is how long until the next hedge is due; with none due it
+// reaches past the deadline.
+func (f *fanout) untilHedge(now time.Time) time.Duration {
+	end, _ := f.ctx.Deadline()
+	next := end.Add(time.Second)
+	for i := range f.rows {
+		r := &f.rows[i]
+		if !r.done && !r.hedgeAt.IsZero() && r.hedgeAt.Before(next) {
+			next = r.hedgeAt
+		}
 	}
-	return kind == wire.LeafSearch && code == errcode.ShardFailed
+	return next.Sub(now)
 }
 
-// send makes one leaf call and checks that the reply belongs to it.
-func (e *Entry) send(ctx context.Context, c candidate, leaf wire.LeafRequest) shardResult {
-	e.stats.leafCalls.Inc()
-	c.row.inFlight.Add(1)
-	defer c.row.inFlight.Add(-1)
-	start := time.Now()
-	var resp wire.LeafResponse
-	deadline, _ := ctx.Deadline()
-	_, err := e.client.Do(ctx, "POST", "http://"+c.addr+backend.PathLeaf, nil, leaf, &resp, deadline)
-	took := time.Since(start)
-	if err != nil {
-		if ctx.Err() != nil || !time.Now().Before(deadline) {
-			e.backends.observe(c.row, took, silent, false, time.Now())
-			return shardResult{shard: leaf.Shard, code: errcode.ShardTimeout, msg: "deadline passed"}
+// answer writes the answer: every shard is either covered or missing with a
+// reason, and hits come only from covered shards.
+func (f *fanout) answer(cl *call) wire.Answer {
+	a := wire.Answer{RequestID: cl.id, Code: errcode.OK, Snapshot: cl.index.Snapshot}
+	for i := range f.rows {
+		r := f.rows[i].result
+		if r.code == errcode.OK {
+			a.Covered = append(a.Covered, r.shard)
+			a.Hits = append(a.Hits, r.hits...)
+			continue
 		}
-		e.backends.observe(c.row, took, failed, false, time.Now())
-		return shardResult{shard: leaf.Shard, code: errcode.ShardFailed, msg: err.Error()}
-	}
-	if e.backends.observe(c.row, took, answered, resp.Draining, time.Now()) {
-		e.log.WithField("backend", c.row.Name).Info("backend server leaving")
-	}
-	// A reply for another request, shard or snapshot would put someone
-	// else's rows in this answer; it is refused and counted.
-	if resp.RequestID != leaf.RequestID || resp.Shard != leaf.Shard || resp.Snapshot != leaf.Snapshot {
-		e.stats.mismatched.Inc()
-		return shardResult{shard: leaf.Shard, code: errcode.ShardFailed, msg: "reply did not match the request"}
+		f.e.stats.missing(r.code)
+		a.Missing = append(a.Missing, wire.MissingShard{Shard: r.shard, Code: r.code, Reason: r.msg})
 	}
-	return shardResult{shard: leaf.Shard, code: resp.Code, msg: resp.Message, hits: resp.Hits, held: resp.Held}
+	sort.Strings(a.Covered)
+	sort.Slice(a.Missing, func(i, j int) bool { return a.Missing[i].Shard < a.Missing[j].Shard })
+	wire.SortHits(a.Hits)
+	a.Partial = len(a.Missing) > 0
+	return a
 }
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -1,12 +1,8 @@
 package entry
 
 import (
-	"context"
 	"sync"
 	"time"
-
-	"github.com/indigoyoke/indigoyoke/pkg/errcode"
-	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
 // Hedging bounds.
@@ -63,48 +59,3 @@
 	}
 	return max(time.Duration(ms*float64(time.Millisecond)), floor)
 }
-
-// hedged sends a search to the first candidate and, if it has not answered
-// within the hedge delay and the budget allows, to the next one too; the
-// first good reply wins. A failed reply moves on at once, as callShard does.
-func (e *Entry) hedged(ctx context.Context, leaf wire.LeafRequest, cands []candidate) shardResult {
-	replies := make(chan shardResult, min(len(cands), maxAttempts))
-	sent, pending := 0, 0
-	launch := func() bool {
-		c := cands[sent]
-		if err := e.pool.Submit(func() { replies <- e.send(ctx, c, leaf) }); err != nil {
-			return false
-		}
-		sent++
-		pending++
-		return true
-	}
-	e.budget.deposit()
-	if !launch() {
-		return shardResult{shard: leaf.Shard, code: errcode.EntryOverloaded, msg: "worker pool full: not run"}
-	}
-	timer := time.NewTimer(e.hedgeDelay(cands[0]))
-	defer timer.Stop()
-	last := shardResult{shard: leaf.Shard, code: errcode.ShardTimeout, msg: "deadline passed"}
-	more := func() bool { return sent < len(cands) && sent < maxAttempts }
-	for pending > 0 {
-		select {
-		case r := <-replies:
-			pending--
-			last = r
-			if r.code == errcode.OK {
-				return r
-			}
-			if retryable(leaf.Kind, r.code) && more() && launch() {
-				e.stats.retries.Inc()
-			}
-		case <-timer.C:
-			if more() && e.budget.take() && launch() {
-				e.stats.hedges.Inc()
-			}
-		case <-ctx.Done():
-			return shardResult{shard: leaf.Shard, code: errcode.ShardTimeout, msg: "deadline passed"}
-		}
-	}
-	return last
-}
--- a/pkg/entry/hold.go
+++ b/pkg/entry/hold.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
+	"github.com/indigoyoke/indigoyoke/pkg/topology"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
@@ -15,7 +17,9 @@
 // sending answers OutcomeUnknown, and the caller may ask again with the same
 // key, which the primary answers from its record without running it twice.
 func (e *Entry) hold(ctx context.Context, cl *call, req wire.HoldRequest) wire.Answer {
-	ctx, cancel := context.WithDeadline(ctx, cl.deadline.Add(-replyMargin))
+	// A caller that leaves does not end its hold: it may ask again with the
+	// same key, and the outcome has to be on the primary's record by then.
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(ctx), cl.deadline.Add(-replyMargin))
 	defer cancel()
 	s, ok := cl.index.Shard(req.Shard)
 	if !ok {
@@ -23,10 +27,10 @@
 	}
 	leaf := wire.LeafRequest{
 		RequestID: cl.id, Kind: wire.LeafHold, Index: cl.index.Name, Snapshot: cl.index.Snapshot,
-		Item: req.Item, IdempotencyKey: req.IdempotencyKey, DeadlineUnixMs: cl.deadline.Add(-replyMargin).UnixMilli(),
+		Shard: s.ID, Item: req.Item, IdempotencyKey: req.IdempotencyKey, DeadlineUnixMs: cl.deadline.Add(-replyMargin).UnixMilli(),
 		FromZone: e.set.Zone,
 	}
-	r := e.callShard(ctx, leaf, s.Primary(), 1)
+	r := e.sendPrimary(ctx, leaf, s)
 	a := wire.Answer{RequestID: cl.id, Code: r.code, Snapshot: cl.index.Snapshot, Message: r.msg}
 	switch {
 	case r.code == errcode.OK:
@@ -45,3 +49,13 @@
 	}
 	return a
 }
+
+// sendPrimary sends leaf to the shard's primary, or says "not run" when it
+// is leaving or marked down.
+func (e *Entry) sendPrimary(ctx context.Context, leaf wire.LeafRequest, s *topology.Shard) shardResult {
+	cands := e.backends.candidates(s.Primary().Leafs, e.set.Zone, time.Now(), false, false)
+	if len(cands) == 0 || ctx.Err() != nil {
+		return shardResult{shard: s.ID, code: errcode.ShardUnavailable, msg: "no live leaf"}
+	}
+	return e.send(ctx, cands[0], leaf)
+}
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -9,26 +9,28 @@
 )
 
 type entryMetrics struct {
-	set        *metrics.Set
-	leafCalls  *metrics.Counter
-	retries    *metrics.Counter
-	hedges     *metrics.Counter
-	mismatched *metrics.Counter
-	late       *metrics.Counter
-	shed       *metrics.Counter
-	latency    *metrics.Histogram
+	set         *metrics.Set
+	leafCalls   *metrics.Counter
+	retries     *metrics.Counter
+	hedges      *metrics.Counter
+	cancels     *metrics.Counter
+	callersLeft *metrics.Counter
+	mismatched  *metrics.Counter
+	shed        *metrics.Counter
+	latency     *metrics.Histogram
 }
 
 func newEntryMetrics(set *metrics.Set) entryMetrics {
 	return entryMetrics{
-		set:        set,
-		leafCalls:  set.NewCounter("entry_leaf_calls_total"),
-		retries:    set.NewCounter("entry_leaf_retries_total"),
-		hedges:     set.NewCounter("entry_leaf_hedges_total"),
-		mismatched: set.NewCounter("entry_leaf_replies_mismatched_total"),
-		late:       set.NewCounter("entry_leaf_replies_late_total"),
-		shed:       set.NewCounter("entry_requests_shed_total"),
-		latency:    set.NewHistogram("entry_answer_seconds"),
+		set:         set,
+		leafCalls:   set.NewCounter("entry_leaf_calls_total"),
+		retries:     set.NewCounter("entry_leaf_retries_total"),
+		hedges:      set.NewCounter("entry_leaf_hedges_total"),
+		mismatched:  set.NewCounter("entry_leaf_replies_mismatched_total"),
+		cancels:     set.NewCounter("entry_leaf_cancels_total"),
+		callersLeft: set.NewCounter("entry_callers_left_total"),
+		shed:        set.NewCounter("entry_requests_shed_total"),
+		latency:     set.NewHistogram("entry_answer_seconds"),
 	}
 }
 
--- a/pkg/entry/tables.go
+++ b/pkg/entry/tables.go
@@ -31,6 +31,9 @@
 	failed
 	// silent: no reply before the caller's deadline.
 	silent
+	// cancelled: the reply says the work was cancelled, so the call took
+	// less than it would have.
+	cancelled
 )
 
 // backendRow is the entry instance's view of one backend server.
@@ -146,7 +149,9 @@
 	defer t.mu.Unlock()
 	switch {
 	case what == answered:
-		row.answeredIn(float64(took) / float64(time.Millisecond))
+		row.answeredIn(ms(took))
+	case what == cancelled:
+		row.answeredIn(max(ms(took), row.LatencyMs))
 	case what == failed || row.tooSilent(took):
 		row.Failures++
 		if row.Failures >= downAfterFailures {
@@ -160,12 +165,14 @@
 	return false
 }
 
-// answeredIn records one reply's latency.
-func (r *backendRow) answeredIn(ms float64) {
+func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// answeredIn records one reply's latency in ms.
+func (r *backendRow) answeredIn(took float64) {
 	r.Failures = 0
 	r.DownUntil = time.Time{}
-	r.LatencyMs = r.LatencyMs*(1-ewmaWeight) + ms*ewmaWeight
-	r.recent[r.samples%latencyWindow] = ms
+	r.LatencyMs = r.LatencyMs*(1-ewmaWeight) + took*ewmaWeight
+	r.recent[r.samples%latencyWindow] = took
 	r.samples++
 }
 
--- a/pkg/errcode/errcode.go
+++ b/pkg/errcode/errcode.go
@@ -41,6 +41,7 @@
 	SnapshotUnavailable Code = 3004
 	ShardFailed         Code = 3005
 	ShardNotHere        Code = 3006
+	ShardCancelled      Code = 3007
 	OutcomeUnknown      Code = 4001
 	Replayed            Code = 4002
 	SettingsInvalid     Code = 5001
@@ -75,6 +76,7 @@
 	SnapshotUnavailable: {"pinned snapshot not held by any reachable leaf", true, 200},
 	ShardFailed:         {"backend server failed the request", false, 200},
 	ShardNotHere:        {"backend server does not hold the shard: not run", true, 200},
+	ShardCancelled:      {"leaf request cancelled by the entry instance", false, 200},
 	OutcomeUnknown:      {"not-repeatable request sent, outcome unknown", false, 504},
 	Replayed:            {"answer replayed for a repeated idempotency key", false, 200},
 	SettingsInvalid:     {"settings invalid", true, 0},
--- a/pkg/service/service.go
+++ b/pkg/service/service.go
@@ -57,6 +57,8 @@
 		server.WithExitWaitTime(exitWait),
 		server.WithDisablePrintRoute(true),
 		server.WithIdleTimeout(30*time.Second),
+		// A handler's context ends when its caller closes the connection.
+		server.WithSenseClientDisconnection(true),
 	)
 	h.GET(PathMetrics, func(_ context.Context, c *app.RequestContext) {
 		c.SetContentType("text/plain; version=0.0.4")
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -119,6 +119,13 @@
 	Draining  bool         `json:"draining,omitempty"`
 }
 
+// CancelRequest tells a backend server that the replies of one search for
+// the listed shards are no longer waited for. A hold is never cancelled.
+type CancelRequest struct {
+	RequestID string   `json:"request_id"`
+	Shards    []string `json:"shards"`
+}
+
 // InstanceState is an instance's state on the platform's instance list.
 type InstanceState string
 
