--- a/pkg/cli/demo.go
+++ b/pkg/cli/demo.go
@@ -16,14 +16,14 @@
 // DemoCmd writes the embedded default layout as settings files.
 func DemoCmd() *cobra.Command {
 	var dir, user string
-	var basePort int
+	var basePort, shards int
 	cmd := &cobra.Command{
 		Use:   "demo",
 		Short: "Write the embedded default installation's settings files for one user",
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			port := basePort
 			next := func() string { port++; return "127.0.0.1:" + strconv.Itoa(port-1) }
-			l, err := demo.Build(demo.User(user), next)
+			l, err := demo.Build(demo.User(user), shards, next)
 			if err != nil {
 				return err
 			}
@@ -53,6 +53,8 @@
 	// --base-port is the first of the consecutive loopback ports used.
 	cmd.Flags().StringVar(&dir, "dir", "demo", "directory for the settings files")
 	cmd.Flags().StringVar(&user, "user", string(demo.Lipovec), "lipovec or lakeshore")
+	// --shards widens the first index, to measure cost against fan-out.
+	cmd.Flags().IntVar(&shards, "shards", 0, "shards of the first index (0: the default)")
 	cmd.Flags().IntVar(&basePort, "base-port", 17100, "first loopback port")
 	return cmd
 }
--- a/pkg/demo/cluster.go
+++ b/pkg/demo/cluster.go
@@ -38,7 +38,7 @@
 // and entry instances are pointed at the platform's. Each tweak may change
 // the layout's settings before anything starts.
 func StartCluster(u User, logs io.Writer, tweaks ...func(*Layout)) (*Cluster, error) {
-	l, err := Build(u, loopbackAny)
+	l, err := Build(u, 0, loopbackAny)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -9,6 +9,7 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
@@ -91,11 +92,17 @@
 
 // Build lays out user u's installation; addr hands out one listen address
 // per call, platform first, then backend servers, then entry instances.
-func Build(u User, addr func() string) (*Layout, error) {
+// wide, when not 0, is the number of shards of the user's first index in
+// place of the default, for measuring how cost grows with the fan-out.
+func Build(u User, wide int, addr func() string) (*Layout, error) {
 	spec, ok := specs[u]
 	if !ok {
 		return nil, fmt.Errorf("unknown user %q", u)
 	}
+	if wide > 0 {
+		spec.indexes = slices.Clone(spec.indexes)
+		spec.indexes[0].shards = wide
+	}
 	l := &Layout{User: u}
 	l.Platform = settings.Platform{Listen: addr(), InstanceLagMs: 1500}
 	cfg := topology.Config{Version: 1}
