--- a/pkg/backend/control.go
+++ b/pkg/backend/control.go
@@ -36,6 +36,11 @@
 	// ActCut drops every leaf request from the listed availability zones
 	// without a reply, as a network partition between zones does.
 	ActCut Action = "cut"
+	// ActHandOff moves the shard named first in Shards, of index Index, to
+	// the backend server at To with its hold records; that server gets it
+	// by ActAdopt.
+	ActHandOff Action = "hand_off"
+	ActAdopt   Action = "adopt"
 )
 
 // Control is the body of a control request. DelayMs, Shards and Percent go
@@ -49,6 +54,9 @@
 	Index    string   `json:"index,omitempty"`
 	Snapshot int64    `json:"snapshot,omitempty"`
 	Zones    []string `json:"zones,omitempty"`
+	To       string   `json:"to,omitempty"`
+	// State goes with adopt, from one backend server to another.
+	State *shardState `json:"state,omitempty"`
 }
 
 // Faults are the faults in force.
@@ -103,6 +111,13 @@
 	case ActKill:
 		b.Kill()
 		return nil
+	case ActHandOff:
+		if len(ctl.Shards) != 1 {
+			return errcode.New(errcode.BadRequest, "hand_off needs one shard")
+		}
+		return b.handOff(ctl.Index, ctl.Shards[0], ctl.To)
+	case ActAdopt:
+		return b.adopt(ctl.State)
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/backend/leaf.go
+++ b/pkg/backend/leaf.go
@@ -213,8 +213,8 @@
 	defer b.mu.Unlock()
 	if prev, ok := b.holds[req.IdempotencyKey]; ok {
 		b.replayed.Inc()
-		prev.Replayed = true
-		return &prev
+		prev.Result.Replayed = true
+		return &prev.Result
 	}
 	left, ok := b.beds[req.Item]
 	if !ok {
@@ -226,7 +226,7 @@
 	}
 	b.beds[req.Item] = left
 	res.Remaining = left
-	b.holds[req.IdempotencyKey] = res
+	b.holds[req.IdempotencyKey] = holdRecord{Index: req.Index, Shard: req.Shard, Result: res}
 	b.holdsRun.Inc()
 	return &res
 }
--- a/pkg/backend/server.go
+++ b/pkg/backend/server.go
@@ -59,7 +59,7 @@
 	thawed   chan struct{}
 	draining bool
 	dead     bool
-	holds    map[string]wire.HoldResult
+	holds    map[string]holdRecord
 	beds     map[string]int
 	health   []healthAt
 	// lastReply feeds the cross_replies fault.
@@ -93,7 +93,7 @@
 		metrics: metrics.NewSet(),
 		slots:   make(chan struct{}, s.Slots),
 		leafs:   map[string]*leaf{},
-		holds:   map[string]wire.HoldResult{},
+		holds:   map[string]holdRecord{},
 		beds:    map[string]int{},
 		thawed:  closedChan(),
 		report:  report,
