--- a/pkg/demo/policy_test.go
+++ b/pkg/demo/policy_test.go
@@ -64,7 +64,7 @@
 	q := wire.SearchRequest{Deployment: dep, Index: "viewer-api", Text: "bolt", TimeoutMs: 2000}
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
-	err := s.searchAndLeave(ctx, "lj-a-entry-1", q)
+	err := s.sendAndLeave(ctx, s.c.Entries["lj-a-entry-1"].Addr(), entry.PathSearch, "cad-viewer", "cad-viewer-key", q)
 	require.ErrorIs(t, err, context.DeadlineExceeded)
 	time.Sleep(time.Second)
 	var ran, received uint64
@@ -78,17 +78,18 @@
 	s.golden("caller-leaves")
 }
 
-// searchAndLeave sends a search on a connection of its own and closes it
+// sendAndLeave sends a request on a connection of its own and closes it
 // when ctx ends.
-func (s *session) searchAndLeave(ctx context.Context, entryName string, q wire.SearchRequest) error {
+func (s *session) sendAndLeave(ctx context.Context, addr, path, app, key string, q any) error {
 	body, err := json.Marshal(q)
 	require.NoError(s.t, err)
-	url := "http://" + s.c.Entries[entryName].Addr() + entry.PathSearch
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+path, bytes.NewReader(body))
 	require.NoError(s.t, err)
-	req.Header.Set(wire.HeaderClientID, "cad-viewer")
-	req.Header.Set(wire.HeaderClientKey, "cad-viewer-key")
-	resp, err := http.DefaultClient.Do(req)
+	req.Header.Set(wire.HeaderClientID, app)
+	req.Header.Set(wire.HeaderClientKey, key)
+	tr := &http.Transport{}
+	defer tr.CloseIdleConnections()
+	resp, err := (&http.Client{Transport: tr}).Do(req)
 	if err == nil {
 		_ = resp.Body.Close()
 	}
--- /dev/null
+++ b/pkg/demo/process_test.go
@@ -0,0 +1,128 @@
+package demo
+
+import (
+	"context"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"gopkg.in/yaml.v3"
+
+	"github.com/indigoyoke/indigoyoke/pkg/caller"
+	"github.com/indigoyoke/indigoyoke/pkg/entry"
+	"github.com/indigoyoke/indigoyoke/pkg/errcode"
+	"github.com/indigoyoke/indigoyoke/pkg/settings"
+	"github.com/indigoyoke/indigoyoke/pkg/topology"
+	"github.com/indigoyoke/indigoyoke/pkg/wire"
+)
+
+// entryProcess is an entry instance running as a process of its own beside
+// the session's in-process cluster, so that it can be frozen and killed.
+type entryProcess struct {
+	t    *testing.T
+	cmd  *exec.Cmd
+	addr string
+}
+
+// startEntryProcess builds yoke and runs it with the session's platform.
+func (s *session) startEntryProcess(set settings.Entry) *entryProcess {
+	dir := s.t.TempDir()
+	bin := filepath.Join(dir, "yoke")
+	build := exec.Command("go", "build", "-o", bin, "github.com/indigoyoke/indigoyoke/cmd/yoke")
+	out, err := build.CombinedOutput()
+	require.NoError(s.t, err, string(out))
+	set.Listen, set.Platform = freeAddr(s.t), s.c.Platform.Addr()
+	raw, err := yaml.Marshal(set)
+	require.NoError(s.t, err)
+	config := filepath.Join(dir, "entry.yaml")
+	require.NoError(s.t, os.WriteFile(config, raw, 0o644))
+	p := &entryProcess{t: s.t, cmd: exec.Command(bin, "serve", "--config", config), addr: set.Listen}
+	require.NoError(s.t, p.cmd.Start())
+	s.t.Cleanup(func() {
+		_ = p.cmd.Process.Kill()
+		_ = p.cmd.Wait()
+	})
+	return p
+}
+
+// freeAddr picks a loopback address nobody listens on.
+func freeAddr(t *testing.T) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer ln.Close()
+	return ln.Addr().String()
+}
+
+func (p *entryProcess) signal(sig syscall.Signal) {
+	require.NoError(p.t, p.cmd.Process.Signal(sig))
+}
+
+// searchUntilServed searches until the answer is not a refusal, and returns
+// it with the codes of the refusals before it.
+func (p *entryProcess) searchUntilServed(q wire.SearchRequest) (wire.Answer, []errcode.Code) {
+	cl, err := caller.New("cad-viewer", "cad-viewer-key")
+	require.NoError(p.t, err)
+	var refused []errcode.Code
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); {
+		a, err := cl.Search(context.Background(), p.addr, q)
+		if err == nil && a.Code == errcode.OK {
+			return a, refused
+		}
+		if err == nil {
+			refused = append(refused, a.Code)
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	p.t.Fatal("entry process did not serve within 10 s")
+	return wire.Answer{}, nil
+}
+
+// TestFrozenEntryWokenLate proves that an entry instance frozen and woken
+// late does not act on the world it left: it neither runs a request whose
+// caller has gone nor answers from the configuration of before the freeze.
+//
+// Symptom: a hold runs seconds after its caller gave up, and the first
+// answers after the wake-up are drawn from a snapshot that everyone else
+// has left.
+// Sequence: an entry process is stopped (SIGSTOP); a caller sends it a hold,
+// waits 300 ms and leaves; snapshot 2 is put in force on every other entry
+// instance; the process is woken (SIGCONT) and searched at once.
+// Cause: the request waited in the socket's buffer, and its timeout counts
+// from when it is read; and the new configuration is one watch away.
+func TestFrozenEntryWokenLate(t *testing.T) {
+	s := newSession(t, Lipovec)
+	dep := Deployment(Lipovec)
+	q := wire.SearchRequest{Deployment: dep, Index: "viewer-api", Text: "PN", Limit: 1, TimeoutMs: 300}
+	h := wire.HoldRequest{Deployment: dep, Index: "viewer-api", Shard: "s01", Item: "PN-s01-100", IdempotencyKey: "order-frozen-1", TimeoutMs: 300}
+	p := s.startEntryProcess(settings.Entry{Name: "lj-a-entry-9", Zone: "lj-a"})
+	a, _ := p.searchUntilServed(q)
+	require.Equal(t, int64(1), a.Snapshot)
+	s.note("lj-a-entry-9, a process of its own, serves snapshot 1; it is frozen")
+	p.signal(syscall.SIGSTOP)
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	err := s.sendAndLeave(ctx, p.addr, entry.PathHold, "bom-panel", "bom-panel-key", h)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	s.note("a caller sends it a hold and leaves after 300 ms without an answer")
+	s.patch(topology.Patch{BaseVersion: 1, Ops: []topology.Op{{Kind: topology.OpSetSnapshot, Deployment: dep, Index: "viewer-api", Snapshot: 2}}})
+	time.Sleep(3 * time.Second)
+	p.signal(syscall.SIGCONT)
+	a, refused := p.searchUntilServed(q)
+	for _, code := range refused {
+		require.True(t, code.NotRun(), "refused with %s", code)
+	}
+	s.note("woken: every search until the first answer was refused unrun; first answer drawn from snapshot %d", a.Snapshot)
+	require.Equal(t, int64(2), a.Snapshot, "answered from the configuration of before the freeze")
+	time.Sleep(500 * time.Millisecond)
+	s.note("holds executed after the wake-up: %d", s.holdsExecuted())
+	require.Zero(t, s.holdsExecuted(), "a hold ran after its caller had left")
+	s.hold("lj-b-entry-1", "bom-panel", "bom-panel-key", h)
+	require.Equal(t, uint64(1), s.holdsExecuted())
+	s.note("the caller's retry through lj-b: holds executed: %d", s.holdsExecuted())
+	s.golden("frozen-entry")
+}
