--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -50,6 +50,7 @@
 	pool         *ants.Pool
 	client       *service.Client
 	platformHTTP *service.Client
+	pause        *pauseGuard
 	state        atomic.Int32
 	inFlight     atomic.Int64
 	seq          atomic.Uint64
@@ -61,6 +62,7 @@
 // New builds an entry instance from checked settings.
 func New(s *settings.Entry, log *logrus.Entry) (*Entry, error) {
 	e := &Entry{set: s, log: log, metrics: metrics.NewSet(), backends: newBackendTable(), budget: newHedgeBudget(s.HedgeBudgetPct)}
+	e.pause = newPauseGuard(settings.Duration(s.PauseLimitMs))
 	var err error
 	if e.pool, err = ants.NewPool(s.Workers, ants.WithNonblocking(true)); err != nil {
 		return nil, err
@@ -90,6 +92,7 @@
 func (e *Entry) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	e.cancel = cancel
+	e.pause.start()
 	// The watches are not waited for at stop: they write nothing, and
 	// their long polls end by themselves within the watch timeout.
 	go e.watcher.Run(ctx)
@@ -135,6 +138,7 @@
 		Name:          e.set.Name,
 		Zone:          e.set.Zone,
 		Lifecycle:     [...]string{"serving", "leaving", "stopping"}[e.state.Load()],
+		Settling:      e.pause.check(),
 		ConfigVersion: e.watcher.Version(),
 		InFlight:      e.inFlight.Load(),
 		PoolRunning:   e.pool.Running(),
@@ -147,6 +151,7 @@
 	Name          string       `json:"name"`
 	Zone          string       `json:"zone"`
 	Lifecycle     string       `json:"lifecycle"`
+	Settling      bool         `json:"settling_after_pause"`
 	ConfigVersion int64        `json:"config_version"`
 	InFlight      int64        `json:"in_flight"`
 	PoolRunning   int          `json:"pool_running"`
--- a/pkg/entry/handlers.go
+++ b/pkg/entry/handlers.go
@@ -25,7 +25,7 @@
 func (e *Entry) handleHealth(_ context.Context, c *app.RequestContext) {
 	h := wire.Health{Name: e.set.Name, State: "live", InFlight: e.inFlight.Load()}
 	status := 200
-	if e.state.Load() != stateServing {
+	if e.state.Load() != stateServing || e.pause.check() {
 		h.State, status = "leaving", 503
 	}
 	c.JSON(status, h)
@@ -86,6 +86,9 @@
 	if e.state.Load() == stateStopping {
 		return nil, ptr(e.refusal(id, errcode.EntryDraining, "entry instance is stopping"))
 	}
+	if e.pause.check() {
+		return nil, ptr(e.refusal(id, errcode.EntrySettling, errcode.EntrySettling.Name()))
+	}
 	cfg := e.watcher.Current()
 	if cfg == nil {
 		return nil, ptr(e.refusal(id, errcode.NoConfiguration, "no configuration yet"))
@@ -132,7 +135,7 @@
 func (e *Entry) refusal(id string, code errcode.Code, msg string) wire.Answer {
 	a := wire.Answer{RequestID: id, Code: code, Message: msg}
 	switch code {
-	case errcode.EntryOverloaded, errcode.EntryDraining, errcode.NoConfiguration:
+	case errcode.EntryOverloaded, errcode.EntryDraining, errcode.NoConfiguration, errcode.EntrySettling:
 		a.RetryAfterMs = e.set.RetryAfterMs
 	}
 	return a
--- a/pkg/entry/metrics.go
+++ b/pkg/entry/metrics.go
@@ -15,6 +15,7 @@
 	hedges      *metrics.Counter
 	cancels     *metrics.Counter
 	callersLeft *metrics.Counter
+	pauses      *metrics.Counter
 	mismatched  *metrics.Counter
 	shed        *metrics.Counter
 	latency     *metrics.Histogram
@@ -26,6 +27,7 @@
 		leafCalls:   set.NewCounter("entry_leaf_calls_total"),
 		retries:     set.NewCounter("entry_leaf_retries_total"),
 		hedges:      set.NewCounter("entry_leaf_hedges_total"),
+		pauses:      set.NewCounter("entry_pauses_total"),
 		mismatched:  set.NewCounter("entry_leaf_replies_mismatched_total"),
 		cancels:     set.NewCounter("entry_leaf_cancels_total"),
 		callersLeft: set.NewCounter("entry_callers_left_total"),
--- a/pkg/entry/tick.go
+++ b/pkg/entry/tick.go
@@ -14,6 +14,7 @@
 	t := time.NewTicker(settings.Duration(e.set.TickMs))
 	defer t.Stop()
 	for {
+		e.watchForPauses(ctx)
 		e.reviveBackends()
 		select {
 		case <-ctx.Done():
--- a/pkg/errcode/errcode.go
+++ b/pkg/errcode/errcode.go
@@ -35,6 +35,7 @@
 	EntryOverloaded     Code = 2001
 	EntryDraining       Code = 2002
 	NoConfiguration     Code = 2003
+	EntrySettling       Code = 2004
 	ShardTimeout        Code = 3001
 	ShardUnavailable    Code = 3002
 	ShardRefused        Code = 3003
@@ -70,6 +71,7 @@
 	EntryOverloaded:     {"entry instance overloaded", true, 503},
 	EntryDraining:       {"entry instance is stopping", true, 503},
 	NoConfiguration:     {"entry instance has no configuration yet", true, 503},
+	EntrySettling:       {"entry instance woke from a pause and is settling", true, 503},
 	ShardTimeout:        {"shard did not answer before the deadline", false, 200},
 	ShardUnavailable:    {"no reachable leaf for the shard", true, 200},
 	ShardRefused:        {"backend server refused: not run", true, 200},
--- a/pkg/platform/watch.go
+++ b/pkg/platform/watch.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -29,7 +30,9 @@
 	zone    string
 	client  *service.Client
 	log     *logrus.Entry
-	current atomic.Pointer[topology.Config]
+	// offering makes comparing and replacing current one step.
+	offering sync.Mutex
+	current  atomic.Pointer[topology.Config]
 	onApply func(*topology.Config)
 	applied *metrics.Counter
 	ignored *metrics.Counter
@@ -77,7 +80,7 @@
 func (w *Watcher) Run(ctx context.Context) {
 	backoff := backoffInitial
 	for ctx.Err() == nil {
-		cfg, err := w.watch(ctx, w.Version())
+		cfg, err := w.watch(ctx, w.Version(), watchTimeout)
 		if err != nil {
 			w.failed.Inc()
 			service.Sleep(ctx, backoff)
@@ -95,8 +98,12 @@
 // whether it did. A stale replica of the configuration service, or one
 // restored from an old state, answers with an older version; putting that
 // in force would revert an accepted change, so versions only go forward
-// and older ones are counted in config_versions_ignored_total.
+// and older ones are counted in config_versions_ignored_total. The watch and
+// Refresh may offer at the same moment; without the lock both could pass the
+// comparison and the older one be stored last.
 func (w *Watcher) Offer(cfg *topology.Config) bool {
+	w.offering.Lock()
+	defer w.offering.Unlock()
 	old := w.current.Load()
 	if old != nil && cfg.Version <= old.Version {
 		w.ignored.Inc()
@@ -111,12 +118,27 @@
 	return true
 }
 
-// watch long-polls for a version newer than after; a nil configuration
-// with no error means the watch ended with nothing newer.
-func (w *Watcher) watch(ctx context.Context, after int64) (*topology.Config, error) {
-	url := fmt.Sprintf("http://%s%s?after=%d&timeout_ms=%d&zone=%s", w.addr, PathWatch, after, watchTimeout.Milliseconds(), w.zone)
+// Refresh asks the configuration service once, without waiting for a
+// change, and puts what it has in force if that is newer. It returns an
+// error when the service could not be asked.
+func (w *Watcher) Refresh(ctx context.Context) error {
+	cfg, err := w.watch(ctx, w.Version(), time.Millisecond)
+	if err == nil && cfg != nil {
+		w.Offer(cfg)
+	}
+	return err
+}
+
+// watch long-polls for a version newer than after, at most wait; a nil
+// configuration with no error means the watch ended with nothing newer.
+func (w *Watcher) watch(ctx context.Context, after int64, wait time.Duration) (*topology.Config, error) {
+	url := fmt.Sprintf("http://%s%s?after=%d&timeout_ms=%d&zone=%s", w.addr, PathWatch, after, wait.Milliseconds(), w.zone)
+	end := time.Now().Add(wait + time.Second)
+	if d, ok := ctx.Deadline(); ok && d.Before(end) {
+		end = d
+	}
 	var reply wire.ConfigReply
-	status, err := w.client.Do(ctx, "GET", url, nil, nil, &reply, time.Now().Add(watchTimeout+time.Second))
+	status, err := w.client.Do(ctx, "GET", url, nil, nil, &reply, end)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -32,6 +32,7 @@
 	DrainGraceMs     int    `yaml:"drain_grace_ms"`
 	RetryAfterMs     int    `yaml:"retry_after_ms"`
 	LeavingHoldMs    int    `yaml:"leaving_hold_ms"`
+	PauseLimitMs     int    `yaml:"pause_limit_ms"`
 	Policy           string `yaml:"policy"`
 	HedgeBudgetPct   int    `yaml:"hedge_budget_percent"`
 	HedgeMinMs       int    `yaml:"hedge_min_ms"`
@@ -92,6 +93,7 @@
 	defaultDrainGraceMs  = 500
 	defaultRetryAfterMs  = 250
 	defaultLeavingHoldMs = 2000
+	defaultPauseLimitMs  = 2000
 	defaultHedgeBudget   = 10
 	defaultHedgeMinMs    = 5
 	defaultSlots         = 2
@@ -155,6 +157,7 @@
 	fillInt(&s.DrainGraceMs, defaultDrainGraceMs)
 	fillInt(&s.RetryAfterMs, defaultRetryAfterMs)
 	fillInt(&s.LeavingHoldMs, defaultLeavingHoldMs)
+	fillInt(&s.PauseLimitMs, defaultPauseLimitMs)
 	fillInt(&s.HedgeBudgetPct, defaultHedgeBudget)
 	fillInt(&s.HedgeMinMs, defaultHedgeMinMs)
 	if s.Policy == "" {
@@ -175,6 +178,7 @@
 		atLeast("max_timeout_ms", s.MaxTimeoutMs, s.DefaultTimeoutMs),
 		atMost("min_timeout_ms", s.MinTimeoutMs, s.DefaultTimeoutMs),
 		positive("tick_ms", s.TickMs),
+		atLeast("pause_limit_ms", s.PauseLimitMs, 2*s.TickMs),
 	)
 }
 
