--- a/pkg/cli/bench.go
+++ b/pkg/cli/bench.go
@@ -25,6 +25,9 @@
 	timeoutMs int
 	slowPct   int
 	slowMs    int
+	// slowUnitMs slows every request to the first backend server of the
+	// callers' own zone; 0: none.
+	slowUnitMs int
 }
 
 // The two deployments' mixes. Lipovec Vizija's suggestions run on a tight
@@ -44,7 +47,7 @@
 // BenchCmd measures the naive fan-out against the hedged policy, side by
 // side in one process, for each deployment's mix.
 func BenchCmd() *cobra.Command {
-	var runs, requests, concurrency, slowPct, slowMs int
+	var runs, requests, concurrency, slowPct, slowMs, slowUnitMs int
 	var qps float64
 	var users string
 	cmd := &cobra.Command{
@@ -62,6 +65,7 @@
 				if slowMs >= 0 {
 					m.slowMs = slowMs
 				}
+				m.slowUnitMs = slowUnitMs
 				if err := benchMix(cmd.OutOrStdout(), m, runs, requests, concurrency, qps); err != nil {
 					return err
 				}
@@ -79,6 +83,9 @@
 	// --slow-percent and --slow-ms override the mix's stragglers (-1: keep).
 	cmd.Flags().IntVar(&slowPct, "slow-percent", -1, "percent of leaf requests slowed (-1: the mix's)")
 	cmd.Flags().IntVar(&slowMs, "slow-ms", -1, "delay of a slowed leaf request in ms (-1: the mix's)")
+	// --slow-unit-ms adds a backend server of the callers' own zone that is
+	// slow on every request.
+	cmd.Flags().IntVar(&slowUnitMs, "slow-unit-ms", 0, "delay of every request to one backend server in the callers' zone (0: none)")
 	return cmd
 }
 
@@ -109,10 +116,8 @@
 		return BenchRun{}, err
 	}
 	defer c.Stop()
-	for _, b := range c.Backends {
-		if err := b.Apply(backend.Control{Action: backend.ActSlow, DelayMs: m.slowMs, Percent: m.slowPct}); err != nil {
-			return BenchRun{}, err
-		}
+	if err := m.slowDown(c); err != nil {
+		return BenchRun{}, err
 	}
 	cl, err := caller.New(m.app, m.key)
 	if err != nil {
@@ -130,6 +135,22 @@
 	return run, nil
 }
 
+// slowDown puts the mix's stragglers, and its slow unit, on the backend
+// servers.
+func (m mix) slowDown(c *demo.Cluster) error {
+	slowUnit := c.Layout.Backends[0].Name
+	for name, b := range c.Backends {
+		ctl := backend.Control{Action: backend.ActSlow, DelayMs: m.slowMs, Percent: m.slowPct}
+		if m.slowUnitMs > 0 && name == slowUnit {
+			ctl.DelayMs, ctl.Percent = m.slowUnitMs, 0
+		}
+		if err := b.Apply(ctl); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func received(c *demo.Cluster) uint64 {
 	var n uint64
 	for _, b := range c.Backends {
--- a/pkg/platform/watch.go
+++ b/pkg/platform/watch.go
@@ -26,17 +26,17 @@
 // seen, by a long-poll watch against the configuration service. It writes
 // nothing to the service.
 type Watcher struct {
-	addr    string
-	zone    string
-	client  *service.Client
-	log     *logrus.Entry
+	addr   string
+	zone   string
+	client *service.Client
+	log    *logrus.Entry
 	// offering makes comparing and replacing current one step.
 	offering sync.Mutex
 	current  atomic.Pointer[topology.Config]
-	onApply func(*topology.Config)
-	applied *metrics.Counter
-	ignored *metrics.Counter
-	failed  *metrics.Counter
+	onApply  func(*topology.Config)
+	applied  *metrics.Counter
+	ignored  *metrics.Counter
+	failed   *metrics.Counter
 	// patchedCount counts versions reached by applying patches.
 	patchedCount *metrics.Counter
 }
