--- a/pkg/entry/fanout.go
+++ b/pkg/entry/fanout.go
@@ -90,10 +90,11 @@
 func (f *fanout) start() {
 	now := time.Now()
 	hedged := f.e.set.Policy == settings.PolicyHedged
+	prefer := preference{zone: f.e.set.Zone, byLoad: hedged, zonePenalty: f.e.set.ZonePenaltyMs, probe: true}
 	for i := range f.rows {
 		r := &f.rows[i]
 		r.result = shardResult{shard: f.shards[i].ID, code: errcode.ShardTimeout, msg: errcode.ShardTimeout.Name()}
-		r.cands = f.e.backends.candidates(f.shards[i].Leafs, f.e.set.Zone, now, hedged, true)
+		r.cands = f.e.backends.candidates(f.shards[i].Leafs, now, prefer)
 		f.open++
 		switch {
 		case len(r.cands) == 0:
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -10,12 +10,12 @@
 	// budgetCap bounds the hedges saved up in quiet times, so a burst of
 	// slowness cannot spend more than this at once.
 	budgetCap = 20
-	// hedgeQuantile of a leaf's recent latencies is how long the first
-	// request may take before a hedge is sent ("The Tail at Scale", Dean
-	// and Barroso, 2013). A mean-plus-deviations delay, tried first, sat
-	// above the stragglers themselves on bimodal latencies and cut nothing
-	// (docs/BENCH.md).
-	hedgeQuantile = 0.9
+	// hedgeRank is the rank, among a window of sorted latencies, of how long
+	// the first request may take before a hedge is sent: the 90th percentile
+	// ("The Tail at Scale", Dean and Barroso, 2013). A mean-plus-deviations
+	// delay, tried first, sat above the stragglers themselves on bimodal
+	// latencies and cut nothing (docs/BENCH.md).
+	hedgeRank = (latencyWindow - 1) * 9 / 10
 )
 
 // hedgeBudget is a token bucket: each first leaf request earns pct/100 of
@@ -53,9 +53,5 @@
 // exactly that until a window of samples is in).
 func (e *Entry) hedgeDelay(c candidate) time.Duration {
 	floor := time.Duration(e.set.HedgeMinMs) * time.Millisecond
-	ms, ok := e.backends.quantile(c.row, hedgeQuantile)
-	if !ok {
-		return floor
-	}
-	return max(time.Duration(ms*float64(time.Millisecond)), floor)
+	return max(fromMs(e.backends.hedgeAt(c.row)), floor)
 }
--- a/pkg/entry/hold.go
+++ b/pkg/entry/hold.go
@@ -53,7 +53,7 @@
 // sendPrimary sends leaf to the shard's primary, or says "not run" when it
 // is leaving or marked down.
 func (e *Entry) sendPrimary(ctx context.Context, leaf wire.LeafRequest, s *topology.Shard) shardResult {
-	cands := e.backends.candidates(s.Primary().Leafs, e.set.Zone, time.Now(), false, false)
+	cands := e.backends.candidates(s.Primary().Leafs, time.Now(), preference{})
 	if len(cands) == 0 || ctx.Err() != nil {
 		return shardResult{shard: s.ID, code: errcode.ShardUnavailable, msg: "no live leaf"}
 	}
--- a/pkg/entry/tables.go
+++ b/pkg/entry/tables.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"cmp"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -13,10 +15,9 @@
 const (
 	downAfterFailures = 2
 	downCooldown      = time.Second
-	ewmaWeight        = 0.2
 	// A leaf call that runs into its caller's deadline counts against the
 	// backend server only after silentMin and silentFactor times the
-	// server's mean latency.
+	// server's expected latency.
 	silentMin    = 100 * time.Millisecond
 	silentFactor = 4
 )
@@ -45,17 +46,13 @@
 	LeavingSince time.Time `json:"leaving_since,omitzero"`
 	Failures     int       `json:"failures"`
 	DownUntil    time.Time `json:"down_until,omitzero"`
-	LatencyMs    float64   `json:"latency_ms"`
+	ExpectedMs   float64   `json:"expected_ms"`
+	HedgeAtMs    float64   `json:"hedge_at_ms"`
 	InFlight     int64     `json:"in_flight"`
 	inFlight     atomic.Int64
-	recent       [latencyWindow]float64
-	samples      int
+	latency      latency
 }
 
-// latencyWindow is how many recent latencies a row keeps for the hedge
-// delay's quantile.
-const latencyWindow = 64
-
 // backendTable holds one row per backend server of the configuration in
 // force. Systems in tick.go refresh it; the fan-out reads it.
 type backendTable struct {
@@ -99,16 +96,26 @@
 type candidate struct {
 	row  *backendRow
 	addr string
+	cost float64
+}
+
+// preference is how the leafs of a shard are ordered. Zone is the entry
+// instance's own; byLoad picks the lowest expected cost, counting zonePenalty
+// (ms) on servers of other zones, instead of own zone first; probe allows a
+// server marked down when there is no other.
+type preference struct {
+	zone        string
+	byLoad      bool
+	zonePenalty float64
+	probe       bool
 }
 
-// candidates orders the usable leafs of a shard: own zone first, then, when
-// byLoad is set, fewest requests in flight and lowest measured latency,
-// then the configured order. Leaving servers are left out, and servers
-// marked down too; when that leaves none and probe is set, one that is
-// marked down and has nothing in flight is returned, so that a mark made by
-// mistake costs a shard's coverage no longer than one leaf call, while a
-// server that is really gone holds up one request at a time.
-func (t *backendTable) candidates(leafs []string, zone string, now time.Time, byLoad, probe bool) []candidate {
+// candidates orders the usable leafs of a shard. Leaving servers are left
+// out, and servers marked down too; when that leaves none and probe is set,
+// one that is marked down and has nothing in flight is returned, so that a
+// mark made by mistake costs a shard's coverage no longer than one leaf
+// call, while a server that is really gone holds up one request at a time.
+func (t *backendTable) candidates(leafs []string, now time.Time, p preference) []candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := make([]candidate, 0, len(leafs))
@@ -118,30 +125,30 @@
 		switch {
 		case !ok || row.Leaving:
 		case !now.Before(row.DownUntil):
-			out = append(out, candidate{row: row, addr: row.Addr})
+			out = append(out, candidate{row: row, addr: row.Addr, cost: p.cost(row)})
 		case down == nil && row.inFlight.Load() == 0:
 			down = row
 		}
 	}
-	if len(out) == 0 && probe && down != nil {
+	if len(out) == 0 && p.probe && down != nil {
 		return []candidate{{row: down, addr: down.Addr}}
 	}
-	sort.SliceStable(out, func(i, j int) bool {
-		a, b := out[i].row, out[j].row
-		if (a.Zone == zone) != (b.Zone == zone) {
-			return a.Zone == zone
-		}
-		if !byLoad {
-			return false
-		}
-		if x, y := a.inFlight.Load(), b.inFlight.Load(); x != y {
-			return x < y
-		}
-		return a.LatencyMs < b.LatencyMs
-	})
+	slices.SortStableFunc(out, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	return out
 }
 
+// cost ranks one backend server, lowest first.
+func (p preference) cost(row *backendRow) float64 {
+	cost := 0.0
+	if p.byLoad {
+		cost = row.latency.cost(row.inFlight.Load())
+	}
+	if row.Zone != p.zone {
+		cost += p.zonePenalty
+	}
+	return cost
+}
+
 // observe records the outcome of one call to a backend server and reports
 // whether the reply showed for the first time that the server is leaving.
 func (t *backendTable) observe(row *backendRow, took time.Duration, what outcome, leaving bool, now time.Time) (becameLeaving bool) {
@@ -151,7 +158,7 @@
 	case what == answered:
 		row.answeredIn(ms(took))
 	case what == cancelled:
-		row.answeredIn(max(ms(took), row.LatencyMs))
+		row.answeredIn(max(ms(took), row.latency.expected))
 	case what == failed || row.tooSilent(took):
 		row.Failures++
 		if row.Failures >= downAfterFailures {
@@ -165,15 +172,11 @@
 	return false
 }
 
-func ms(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
-
 // answeredIn records one reply's latency in ms.
 func (r *backendRow) answeredIn(took float64) {
 	r.Failures = 0
 	r.DownUntil = time.Time{}
-	r.LatencyMs = r.LatencyMs*(1-ewmaWeight) + took*ewmaWeight
-	r.recent[r.samples%latencyWindow] = took
-	r.samples++
+	r.latency.add(took)
 }
 
 // tooSilent reports whether a wait that ended at the caller's deadline says
@@ -182,23 +185,24 @@
 // mark every backend server down and all other callers would find every
 // shard missing (IY3002) although nothing is wrong.
 func (r *backendRow) tooSilent(waited time.Duration) bool {
-	mean := time.Duration(r.LatencyMs * float64(time.Millisecond))
-	return waited >= max(silentMin, silentFactor*mean)
+	return waited >= max(silentMin, silentFactor*fromMs(r.latency.expected))
+}
+
+// hedgeAt returns the row's hedge quantile in ms, 0 while it has fewer than
+// a window of samples.
+func (t *backendTable) hedgeAt(row *backendRow) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return row.latency.hedgeAt
 }
 
-// quantile returns the q-quantile of the row's recent latencies in ms, and
-// false while it has fewer than a window of samples.
-func (t *backendTable) quantile(row *backendRow, q float64) (float64, bool) {
+// refreshLatency recomputes every row's derived latency figures.
+func (t *backendTable) refreshLatency() {
 	t.mu.Lock()
-	if row.samples < latencyWindow {
-		t.mu.Unlock()
-		return 0, false
+	defer t.mu.Unlock()
+	for _, r := range t.rows {
+		r.latency.refresh()
 	}
-	window := row.recent
-	t.mu.Unlock()
-	sorted := window[:]
-	sort.Float64s(sorted)
-	return sorted[int(q*float64(latencyWindow-1))], true
 }
 
 // markLeaving records what the platform's instance list says. The list
@@ -242,7 +246,7 @@
 	for _, r := range t.rows {
 		out = append(out, backendRow{
 			Name: r.Name, Zone: r.Zone, Addr: r.Addr, Leaving: r.Leaving, LeavingSince: r.LeavingSince,
-			Failures: r.Failures, DownUntil: r.DownUntil, LatencyMs: r.LatencyMs, InFlight: r.inFlight.Load(),
+			Failures: r.Failures, DownUntil: r.DownUntil, ExpectedMs: r.latency.expected, HedgeAtMs: r.latency.hedgeAt, InFlight: r.inFlight.Load(),
 		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
--- a/pkg/entry/tick.go
+++ b/pkg/entry/tick.go
@@ -16,6 +16,7 @@
 	for {
 		e.watchForPauses(ctx)
 		e.reviveBackends()
+		e.backends.refreshLatency()
 		select {
 		case <-ctx.Done():
 			return
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -34,9 +34,9 @@
 	return nil
 }
 
-func positive(field string, v int) error {
+func positive[T int | float64](field string, v T) error {
 	if v <= 0 {
-		return invalid(field, "must be positive, got %d", v)
+		return invalid(field, "must be positive, got %v", v)
 	}
 	return nil
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -36,6 +36,9 @@
 	Policy           string `yaml:"policy"`
 	HedgeBudgetPct   int    `yaml:"hedge_budget_percent"`
 	HedgeMinMs       int    `yaml:"hedge_min_ms"`
+	// ZonePenaltyMs is what a leaf call to another zone is taken to cost
+	// beyond its measured latency.
+	ZonePenaltyMs float64 `yaml:"zone_penalty_ms"`
 }
 
 // Fan-out policies of an entry instance.
@@ -96,6 +99,7 @@
 	defaultPauseLimitMs  = 2000
 	defaultHedgeBudget   = 10
 	defaultHedgeMinMs    = 5
+	defaultZonePenaltyMs = 2.0
 	defaultSlots         = 2
 	defaultMaxConns      = 25
 	defaultReadsPerSec   = 2000
@@ -160,6 +164,9 @@
 	fillInt(&s.PauseLimitMs, defaultPauseLimitMs)
 	fillInt(&s.HedgeBudgetPct, defaultHedgeBudget)
 	fillInt(&s.HedgeMinMs, defaultHedgeMinMs)
+	if s.ZonePenaltyMs == 0 {
+		s.ZonePenaltyMs = defaultZonePenaltyMs
+	}
 	if s.Policy == "" {
 		s.Policy = PolicyHedged
 	}
@@ -167,6 +174,7 @@
 		oneOf("policy", s.Policy, PolicyHedged, PolicyNaive),
 		between("hedge_budget_percent", s.HedgeBudgetPct, 0, 100),
 		positive("hedge_min_ms", s.HedgeMinMs),
+		positive("zone_penalty_ms", s.ZonePenaltyMs),
 		required("name", s.Name),
 		required("zone", s.Zone),
 		hostPort("listen", s.Listen),
