Revert the hedge delay from the better of two replicas

The cause of the 27 ms was read wrongly: 2 % of requests to the good replica are 40 ms stragglers, their hedge after 5 ms goes to the only other replica, the slow unit (20 ms), and 5 + 20 + queueing is the 27 ms. With two replicas, one of them slow, that is the floor; a third replica would move it, not a delay. Conclusion: the simpler delay stays.

--- a/pkg/entry/fanout.go
+++ b/pkg/entry/fanout.go
@@ -103,7 +103,7 @@
 			f.finish(i, shardResult{shard: f.shards[i].ID, code: errcode.EntryOverloaded, msg: "worker pool full: not run"})
 		case hedged:
 			f.e.budget.deposit()
-			r.hedgeAt = now.Add(f.e.hedgeDelay(r.cands))
+			r.hedgeAt = now.Add(f.e.hedgeDelay(r.cands[0]))
 		}
 	}
 }
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -48,16 +48,10 @@
 	return true
 }
 
-// hedgeDelay is how long to wait for the first leaf before asking the next:
-// the lower of the two's 90th percentiles, at least hedge_min_ms (and
-// exactly that until a window of samples is in). The first leaf's own figure
-// alone would make a search that tries a slow server again wait as long as
-// that server always takes.
-func (e *Entry) hedgeDelay(cands []candidate) time.Duration {
-	delay := e.backends.hedgeAt(cands[0].row)
-	if len(cands) > 1 {
-		delay = min(delay, e.backends.hedgeAt(cands[1].row))
-	}
+// hedgeDelay is how long to wait for the first leaf before asking a second:
+// the 90th percentile of its recent latencies, at least hedge_min_ms (and
+// exactly that until a window of samples is in).
+func (e *Entry) hedgeDelay(c candidate) time.Duration {
 	floor := time.Duration(e.set.HedgeMinMs) * time.Millisecond
-	return max(fromMs(delay), floor)
+	return max(fromMs(e.backends.hedgeAt(c.row)), floor)
 }
