--- a/pkg/demo/faults_test.go
+++ b/pkg/demo/faults_test.go
@@ -171,6 +171,14 @@
 	return a
 }
 
+func (s *session) quietHold(entryName string, req wire.HoldRequest) wire.Answer {
+	cl, err := caller.New("outreach-van", "outreach-van-key")
+	require.NoError(s.t, err)
+	a, err := cl.Hold(context.Background(), s.c.Entries[entryName].Addr(), req)
+	require.NoError(s.t, err)
+	return a
+}
+
 // TestRacingPatchesOneAccepted proves that two operators racing patches
 // against one version get one accepted everywhere and one refused.
 //
