--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -114,7 +114,7 @@
 		for n := 1; n <= backendsPerZone; n++ {
 			b := backendFor(spec, zone, n, addr(), l.Platform.Listen)
 			l.Backends = append(l.Backends, b)
-			cfg.Backends = append(cfg.Backends, topology.BackendServer{Name: b.Name, Zone: zone, Addr: b.Listen})
+			cfg.Backends = append(cfg.Backends, topology.BackendServer{Name: b.Name, Zone: zone, Addr: b.Listen, MaxConns: b.MaxConns})
 			place(&dep, b)
 		}
 	}
@@ -124,6 +124,7 @@
 		for n := 1; n <= entriesPerZone; n++ {
 			l.Entries = append(l.Entries, settings.Entry{
 				Name: fmt.Sprintf("%s-entry-%d", zone, n), Zone: zone, Listen: addr(), Platform: l.Platform.Listen,
+				EntryInstances: entriesPerZone * len(spec.zones),
 			})
 		}
 	}
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/platform"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
+	"github.com/indigoyoke/indigoyoke/pkg/topology"
 )
 
 // Paths callers use.
@@ -61,7 +62,8 @@
 
 // New builds an entry instance from checked settings.
 func New(s *settings.Entry, log *logrus.Entry) (*Entry, error) {
-	e := &Entry{set: s, log: log, metrics: metrics.NewSet(), backends: newBackendTable(), budget: newHedgeBudget(s.HedgeBudgetPct)}
+	connShare := func(b topology.BackendServer) int { return share(b, s.EntryInstances, s.ConnsPerBackend) }
+	e := &Entry{set: s, log: log, metrics: metrics.NewSet(), backends: newBackendTable(connShare), budget: newHedgeBudget(s.HedgeBudgetPct)}
 	e.pause = newPauseGuard(settings.Duration(s.PauseLimitMs))
 	var err error
 	if e.pool, err = ants.NewPool(s.Workers, ants.WithNonblocking(true)); err != nil {
--- a/pkg/entry/latency.go
+++ b/pkg/entry/latency.go
@@ -24,9 +24,10 @@
 	floorMs = 0.2
 )
 
-// latency is what is known of one backend server's reply times, in ms. The
-// replies add to it and refresh, run each tick, derives the two figures that
-// the fan-out reads.
+// latency is what is known of one backend server's reply times, in ms.
+// Replies add to it and move expected at once (a cold server would otherwise
+// use up the hedge budget before the next tick); refresh, run each tick,
+// recomputes hedgeAt and lets expected decay.
 type latency struct {
 	recent    [latencyWindow]float64
 	samples   int
@@ -39,16 +40,17 @@
 func (l *latency) add(took float64) {
 	l.recent[l.samples%latencyWindow] = took
 	l.samples++
+	l.expected = median(l.latest(expectedWindow))
 }
 
-// refresh recomputes the derived figures.
+// refresh recomputes hedgeAt, or decays expected when no reply came since
+// the last tick.
 func (l *latency) refresh() {
 	if l.samples == l.refreshed {
 		l.expected *= idleDecay
 		return
 	}
 	l.refreshed = l.samples
-	l.expected = median(l.latest(expectedWindow))
 	if l.samples >= latencyWindow {
 		sorted := l.recent
 		slices.Sort(sorted[:])
--- a/pkg/entry/leafcall.go
+++ b/pkg/entry/leafcall.go
@@ -23,11 +23,16 @@
 	return code == errcode.ShardFailed || (code.NotRun() && code != errcode.OK)
 }
 
-// send makes one leaf call and checks that the reply belongs to it.
+// send makes one leaf call, once there is a connection for it, and checks
+// that the reply belongs to it.
 func (e *Entry) send(ctx context.Context, c candidate, leaf wire.LeafRequest) shardResult {
-	e.stats.leafCalls.Inc()
 	c.row.inFlight.Add(1)
 	defer c.row.inFlight.Add(-1)
+	if !take(ctx, c.permits.calls) {
+		return shardResult{shard: leaf.Shard, code: errcode.ShardNotSent, msg: errcode.ShardNotSent.Name()}
+	}
+	defer func() { <-c.permits.calls }()
+	e.stats.leafCalls.Inc()
 	start := time.Now()
 	var resp wire.LeafResponse
 	deadline, _ := ctx.Deadline()
@@ -105,9 +110,16 @@
 // work.
 func (e *Entry) cancelLeafs(c candidate, req wire.CancelRequest) {
 	task := func() {
+		ctx, done := context.WithTimeout(context.Background(), cancelTimeout)
+		defer done()
+		if !take(ctx, c.permits.cancels) {
+			return
+		}
+		defer func() { <-c.permits.cancels }()
 		e.stats.cancels.Inc()
-		ctx := context.Background()
 		_, _ = e.client.Do(ctx, "POST", "http://"+c.addr+backend.PathCancel, nil, req, nil, time.Now().Add(cancelTimeout))
 	}
-	_ = e.pool.Submit(task)
+	if cap(c.permits.cancels) > 0 {
+		_ = e.pool.Submit(task)
+	}
 }
--- a/pkg/entry/tables.go
+++ b/pkg/entry/tables.go
@@ -49,8 +49,11 @@
 	ExpectedMs   float64   `json:"expected_ms"`
 	HedgeAtMs    float64   `json:"hedge_at_ms"`
 	InFlight     int64     `json:"in_flight"`
+	ConnShare    int       `json:"conn_share"`
 	inFlight     atomic.Int64
 	latency      latency
+	share        int
+	permits      permits
 }
 
 // backendTable holds one row per backend server of the configuration in
@@ -59,10 +62,13 @@
 	mu      sync.Mutex
 	rows    map[string]*backendRow
 	version int64
+	// share is how many connections this entry instance may open to a
+	// backend server.
+	share func(topology.BackendServer) int
 }
 
-func newBackendTable() *backendTable {
-	return &backendTable{rows: map[string]*backendRow{}}
+func newBackendTable(share func(topology.BackendServer) int) *backendTable {
+	return &backendTable{rows: map[string]*backendRow{}, share: share}
 }
 
 // sync makes the rows match the backend servers of cfg, keeping what is
@@ -83,6 +89,9 @@
 			t.rows[b.Name] = row
 		}
 		row.Zone, row.Addr = b.Zone, b.Addr
+		if n := t.share(b); n != row.share {
+			row.share, row.permits = n, newPermits(n)
+		}
 	}
 	for name := range t.rows {
 		if !keep[name] {
@@ -94,9 +103,10 @@
 
 // candidate is a leaf the fan-out may send to.
 type candidate struct {
-	row  *backendRow
-	addr string
-	cost float64
+	row     *backendRow
+	addr    string
+	permits permits
+	cost    float64
 }
 
 // preference is how the leafs of a shard are ordered. Zone is the entry
@@ -125,13 +135,13 @@
 		switch {
 		case !ok || row.Leaving:
 		case !now.Before(row.DownUntil):
-			out = append(out, candidate{row: row, addr: row.Addr, cost: p.cost(row)})
+			out = append(out, candidate{row: row, addr: row.Addr, permits: row.permits, cost: p.cost(row)})
 		case down == nil && row.inFlight.Load() == 0:
 			down = row
 		}
 	}
 	if len(out) == 0 && p.probe && down != nil {
-		return []candidate{{row: down, addr: down.Addr}}
+		return []candidate{{row: down, addr: down.Addr, permits: down.permits}}
 	}
 	slices.SortStableFunc(out, func(a, b candidate) int { return cmp.Compare(a.cost, b.cost) })
 	return out
@@ -246,7 +256,7 @@
 	for _, r := range t.rows {
 		out = append(out, backendRow{
 			Name: r.Name, Zone: r.Zone, Addr: r.Addr, Leaving: r.Leaving, LeavingSince: r.LeavingSince,
-			Failures: r.Failures, DownUntil: r.DownUntil, ExpectedMs: r.latency.expected, HedgeAtMs: r.latency.hedgeAt, InFlight: r.inFlight.Load(),
+			Failures: r.Failures, DownUntil: r.DownUntil, ExpectedMs: r.latency.expected, HedgeAtMs: r.latency.hedgeAt, InFlight: r.inFlight.Load(), ConnShare: r.share,
 		})
 	}
 	sort.Slice(out, func(i, j int) bool { return out[i].Name < out[j].Name })
--- a/pkg/errcode/errcode.go
+++ b/pkg/errcode/errcode.go
@@ -43,6 +43,7 @@
 	ShardFailed         Code = 3005
 	ShardNotHere        Code = 3006
 	ShardCancelled      Code = 3007
+	ShardNotSent        Code = 3008
 	OutcomeUnknown      Code = 4001
 	Replayed            Code = 4002
 	SettingsInvalid     Code = 5001
@@ -79,6 +80,7 @@
 	ShardFailed:         {"backend server failed the request", false, 200},
 	ShardNotHere:        {"backend server does not hold the shard: not run", true, 200},
 	ShardCancelled:      {"leaf request cancelled by the entry instance", false, 200},
+	ShardNotSent:        {"no connection to the backend server was free in time: not run", true, 200},
 	OutcomeUnknown:      {"not-repeatable request sent, outcome unknown", false, 504},
 	Replayed:            {"answer replayed for a repeated idempotency key", false, 200},
 	SettingsInvalid:     {"settings invalid", true, 0},
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -25,6 +25,7 @@
 	Workers          int    `yaml:"workers"`
 	MaxInFlight      int    `yaml:"max_in_flight"`
 	ConnsPerBackend  int    `yaml:"conns_per_backend"`
+	EntryInstances   int    `yaml:"entry_instances"`
 	DefaultTimeoutMs int    `yaml:"default_timeout_ms"`
 	MaxTimeoutMs     int    `yaml:"max_timeout_ms"`
 	MinTimeoutMs     int    `yaml:"min_timeout_ms"`
@@ -89,6 +90,7 @@
 	defaultWorkers       = 256
 	defaultMaxInFlight   = 512
 	defaultConns         = 16
+	defaultEntries       = 8
 	defaultTimeoutMs     = 200
 	defaultMaxTimeoutMs  = 30000
 	defaultMinTimeoutMs  = 5
@@ -154,6 +156,7 @@
 	fillInt(&s.Workers, defaultWorkers)
 	fillInt(&s.MaxInFlight, defaultMaxInFlight)
 	fillInt(&s.ConnsPerBackend, defaultConns)
+	fillInt(&s.EntryInstances, defaultEntries)
 	fillInt(&s.DefaultTimeoutMs, defaultTimeoutMs)
 	fillInt(&s.MaxTimeoutMs, defaultMaxTimeoutMs)
 	fillInt(&s.MinTimeoutMs, defaultMinTimeoutMs)
@@ -182,6 +185,7 @@
 		positive("workers", s.Workers),
 		positive("max_in_flight", s.MaxInFlight),
 		positive("conns_per_backend", s.ConnsPerBackend),
+		positive("entry_instances", s.EntryInstances),
 		positive("default_timeout_ms", s.DefaultTimeoutMs),
 		atLeast("max_timeout_ms", s.MaxTimeoutMs, s.DefaultTimeoutMs),
 		atMost("min_timeout_ms", s.MinTimeoutMs, s.DefaultTimeoutMs),
--- a/pkg/topology/topology.go
+++ b/pkg/topology/topology.go
@@ -63,10 +63,13 @@
 }
 
 // BackendServer is one backend server (a unit) in an availability zone.
+// MaxConns is how many connections it takes from all callers together; 0:
+// not published.
 type BackendServer struct {
-	Name string `json:"name" yaml:"name"`
-	Zone string `json:"zone" yaml:"zone"`
-	Addr string `json:"addr" yaml:"addr"`
+	Name     string `json:"name" yaml:"name"`
+	Zone     string `json:"zone" yaml:"zone"`
+	Addr     string `json:"addr" yaml:"addr"`
+	MaxConns int    `json:"max_conns,omitempty" yaml:"max_conns,omitempty"`
 }
 
 // find returns the first item whose key is want.
