--- a/pkg/demo/cluster.go
+++ b/pkg/demo/cluster.go
@@ -11,6 +11,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/entry"
 	"github.com/indigoyoke/indigoyoke/pkg/platform"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
+	"github.com/indigoyoke/indigoyoke/pkg/settings"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
@@ -22,6 +23,7 @@
 	Backends map[string]*backend.Server
 	Entries  map[string]*entry.Entry
 	order    []string
+	logs     io.Writer
 }
 
 // configWait bounds how long Start waits for every entry instance to read
@@ -45,7 +47,7 @@
 	for _, t := range tweaks {
 		t(l)
 	}
-	c := &Cluster{Layout: l, Backends: map[string]*backend.Server{}, Entries: map[string]*entry.Entry{}}
+	c := &Cluster{Layout: l, Backends: map[string]*backend.Server{}, Entries: map[string]*entry.Entry{}, logs: logs}
 	report := func(i wire.Instance) { c.Platform.Report(i) }
 	for i := range l.Backends {
 		s := &l.Backends[i]
@@ -64,19 +66,33 @@
 		b.Start()
 	}
 	for i := range l.Entries {
-		s := &l.Entries[i]
-		s.Platform = c.Platform.Addr()
-		e, err := entry.New(s, logger(logs, "entry", s.Name, s.Zone))
-		if err != nil {
+		if err := c.AddEntry(l.Entries[i]); err != nil {
 			return nil, err
 		}
-		e.Start()
-		c.Entries[s.Name] = e
-		c.order = append(c.order, s.Name)
 	}
 	return c, c.WaitVersion(l.Platform.Configuration.Version, configWait)
 }
 
+// AddEntry starts an entry instance with settings s on a free loopback
+// address, reading the cluster's platform.
+func (c *Cluster) AddEntry(s settings.Entry) error {
+	s.Platform = c.Platform.Addr()
+	if s.Listen == "" {
+		s.Listen = loopbackAny()
+	}
+	if err := s.Check(); err != nil {
+		return err
+	}
+	e, err := entry.New(&s, logger(c.logs, "entry", s.Name, s.Zone))
+	if err != nil {
+		return err
+	}
+	e.Start()
+	c.Entries[s.Name] = e
+	c.order = append(c.order, s.Name)
+	return nil
+}
+
 func logger(w io.Writer, process, name, zone string) *service.Log {
 	log := service.Logger(process, name, zone)
 	log.Logger.SetOutput(w)
