--- a/pkg/demo/cluster.go
+++ b/pkg/demo/cluster.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"slices"
 	"sync"
 	"time"
 
@@ -73,13 +74,15 @@
 	return c, c.WaitVersion(l.Platform.Configuration.Version, configWait)
 }
 
-// AddEntry starts an entry instance with settings s on a free loopback
-// address, reading the cluster's platform.
+// AddEntry starts an entry instance with settings s on free loopback
+// addresses, reading the cluster's platform and asking its other entry
+// instances as peers.
 func (c *Cluster) AddEntry(s settings.Entry) error {
 	s.Platform = c.Platform.Addr()
 	if s.Listen == "" {
 		s.Listen = loopbackAny()
 	}
+	s.RelayListen, s.RelaySecret, s.Peers = loopbackAny(), demoRelaySecret, nil
 	if err := s.Check(); err != nil {
 		return err
 	}
@@ -87,12 +90,28 @@
 	if err != nil {
 		return err
 	}
-	e.Start()
 	c.Entries[s.Name] = e
 	c.order = append(c.order, s.Name)
+	c.ConnectPeers()
+	e.Start()
 	return nil
 }
 
+// ConnectPeers makes every entry instance ask every other one, but those in
+// the cut zones only each other's zone: a partition between zones.
+func (c *Cluster) ConnectPeers(cutZones ...string) {
+	for _, e := range c.Entries {
+		var peers []string
+		for _, p := range c.Entries {
+			apart := e.Zone() != p.Zone() && (slices.Contains(cutZones, e.Zone()) || slices.Contains(cutZones, p.Zone()))
+			if p != e && !apart {
+				peers = append(peers, p.RelayAddr())
+			}
+		}
+		e.SetPeers(peers)
+	}
+}
+
 func logger(w io.Writer, process, name, zone string) *service.Log {
 	log := service.Logger(process, name, zone)
 	log.Logger.SetOutput(w)
--- a/pkg/demo/demo.go
+++ b/pkg/demo/demo.go
@@ -85,6 +85,8 @@
 	entriesPerZone  = 2
 	demoConns       = 25
 	demoSnapshots   = 2
+	// demoRelaySecret is public; a real installation makes its own.
+	demoRelaySecret = "demo-only-relay-secret"
 )
 
 // Deployment is the brand deployment name of user u.
@@ -122,15 +124,28 @@
 	l.Platform.Configuration = cfg
 	for _, zone := range spec.zones {
 		for n := 1; n <= entriesPerZone; n++ {
+			listen := addr()
 			l.Entries = append(l.Entries, settings.Entry{
-				Name: fmt.Sprintf("%s-entry-%d", zone, n), Zone: zone, Listen: addr(), Platform: l.Platform.Listen,
-				EntryInstances: entriesPerZone * len(spec.zones),
+				Name: fmt.Sprintf("%s-entry-%d", zone, n), Zone: zone, Listen: listen, Platform: l.Platform.Listen,
+				EntryInstances: entriesPerZone * len(spec.zones), RelayListen: listen, RelaySecret: demoRelaySecret,
 			})
 		}
 	}
+	l.introducePeers()
 	return l, l.check()
 }
 
+// introducePeers lists every other entry instance as each one's peer.
+func (l *Layout) introducePeers() {
+	for i := range l.Entries {
+		for j := range l.Entries {
+			if i != j {
+				l.Entries[i].Peers = append(l.Entries[i].Peers, l.Entries[j].RelayListen)
+			}
+		}
+	}
+}
+
 func shards(n int) []topology.Shard {
 	out := make([]topology.Shard, n)
 	for i := range out {
--- a/pkg/demo/faults_test.go
+++ b/pkg/demo/faults_test.go
@@ -461,6 +461,7 @@
 		s.control(name, backend.Control{Action: backend.ActCut, Zones: cut})
 	}
 	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal, CutZones: cut})
+	s.c.ConnectPeers(cut...)
 	s.note("lj-b cut off from lj-a and from the platform")
 	a := s.search("lj-b-entry-1", "cad-viewer", "cad-viewer-key", q)
 	require.Equal(t, []string{"s02", "s03", "s04"}, a.Covered)
@@ -475,6 +476,7 @@
 		s.control(name, backend.Control{Action: backend.ActHeal})
 	}
 	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal})
+	s.c.ConnectPeers()
 	require.NoError(t, s.c.WaitVersion(next.Version, 5*time.Second))
 	s.note("cut healed: every entry instance at v%d", next.Version)
 	s.hold("lj-b-entry-2", "bom-panel", "bom-panel-key", h)
--- a/pkg/demo/move_test.go
+++ b/pkg/demo/move_test.go
@@ -36,8 +36,9 @@
 	}
 	hold(after, "van12-dusk-1")
 	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal, CutZones: []string{"cleveland-hall"}})
+	s.c.ConnectPeers("cleveland-hall")
 	time.Sleep(300 * time.Millisecond)
-	s.note("cleveland-hall cut off from the platform; s03 moves to detroit-hall-unit-2")
+	s.note("cleveland-hall cut off from the platform and from detroit-hall's entry instances; s03 moves to detroit-hall-unit-2")
 	s.control("detroit-hall-unit-1", backend.Control{
 		Action: backend.ActHandOff, Index: "shelter-console", Shards: []string{"s03"}, To: s.c.Backends["detroit-hall-unit-2"].Addr(),
 	})
@@ -58,6 +59,7 @@
 	s.searchCovers(before, "outreach-van", "outreach-van-key", q, 4)
 	s.searchCovers(after, "outreach-van", "outreach-van-key", q, 4)
 	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal})
+	s.c.ConnectPeers()
 	require.NoError(t, s.c.WaitVersion(2, 5*time.Second))
 	s.note("cut healed: every entry instance at v2")
 	hold(before, "van7-dusk-1")
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -18,6 +18,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/indigoyoke/indigoyoke/pkg/platform"
+	"github.com/indigoyoke/indigoyoke/pkg/relay"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
@@ -46,6 +47,7 @@
 	metrics      *metrics.Set
 	srv          *service.Server
 	watcher      *platform.Watcher
+	relay        *relay.Relay
 	backends     *backendTable
 	budget       *hedgeBudget
 	pool         *ants.Pool
@@ -79,6 +81,12 @@
 		return nil, err
 	}
 	e.watcher.OnApply(e.followConfig)
+	if s.RelayListen != "" {
+		o := relay.Options{Listen: s.RelayListen, Peers: s.Peers, Secret: s.RelaySecret, Interval: settings.Duration(s.RelayIntervalMs)}
+		if e.relay, err = relay.New(o, e.watcher, e.metrics, log); err != nil {
+			return nil, err
+		}
+	}
 	e.stats = newEntryMetrics(e.metrics)
 	e.metrics.NewGauge("entry_requests_in_flight", func() float64 { return float64(e.inFlight.Load()) })
 	e.metrics.NewGauge("entry_config_version", func() float64 { return float64(e.watcher.Version()) })
@@ -101,6 +109,10 @@
 	go platform.WatchInstances(ctx, e.platformHTTP, e.set.Platform, e.set.Zone, e.followInstance)
 	e.wg.Add(1)
 	go func() { defer e.wg.Done(); e.runTicks(ctx) }()
+	if e.relay != nil {
+		e.wg.Add(1)
+		go func() { defer e.wg.Done(); e.relay.Run(ctx) }()
+	}
 	e.srv.Start()
 	e.log.WithField("addr", e.Addr()).Info("serving")
 }
@@ -111,6 +123,24 @@
 // Name is the entry instance's name.
 func (e *Entry) Name() string { return e.set.Name }
 
+// RelayAddr is the relay's bound address, "" without a relay.
+func (e *Entry) RelayAddr() string {
+	if e.relay == nil {
+		return ""
+	}
+	return e.relay.Addr()
+}
+
+// SetPeers replaces the peers the relay asks.
+func (e *Entry) SetPeers(peers []string) {
+	if e.relay != nil {
+		e.relay.SetPeers(peers)
+	}
+}
+
+// Zone is the entry instance's availability zone.
+func (e *Entry) Zone() string { return e.set.Zone }
+
 // Watcher exposes the configuration watch, for tests and the state dump.
 func (e *Entry) Watcher() *platform.Watcher { return e.watcher }
 
--- /dev/null
+++ b/pkg/relay/dial.go
@@ -0,0 +1,71 @@
+package relay
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"sync"
+
+	"github.com/quic-go/quic-go"
+)
+
+// dialer keeps one connection to each peer asked so far. An idle one ends by
+// itself and is dialled again when next needed.
+type dialer struct {
+	transport *quic.Transport
+	tls       *tls.Config
+	quic      *quic.Config
+	mu        sync.Mutex
+	conns     map[string]*quic.Conn
+}
+
+// conn returns a live connection to addr.
+func (d *dialer) conn(ctx context.Context, addr string) (*quic.Conn, error) {
+	d.mu.Lock()
+	c := d.conns[addr]
+	d.mu.Unlock()
+	if c != nil && c.Context().Err() == nil {
+		return c, nil
+	}
+	udp, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c, err = d.transport.Dial(ctx, udp, d.tls, d.quic)
+	if err != nil {
+		return nil, err
+	}
+	d.mu.Lock()
+	d.conns[addr] = c
+	d.mu.Unlock()
+	return c, nil
+}
+
+// drop closes the connection to addr after a failed exchange: a peer that
+// was frozen or replaced leaves a connection that goes silent for good.
+func (d *dialer) drop(addr string) {
+	d.mu.Lock()
+	c := d.conns[addr]
+	delete(d.conns, addr)
+	d.mu.Unlock()
+	if c != nil {
+		_ = c.CloseWithError(codeFailed, "")
+	}
+}
+
+func (d *dialer) closeAll() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for addr, c := range d.conns {
+		_ = c.CloseWithError(codeStopping, "")
+		delete(d.conns, addr)
+	}
+}
+
+func listenUDP(addr string) (*net.UDPConn, error) {
+	udp, err := net.ResolveUDPAddr("udp", addr)
+	if err != nil {
+		return nil, err
+	}
+	return net.ListenUDP("udp", udp)
+}
--- /dev/null
+++ b/pkg/relay/relay.go
@@ -0,0 +1,272 @@
+// Package relay owns the one protocol between entry instances: each asks a
+// random peer now and then, over QUIC, for a deployment configuration newer
+// than its own. It is how an entry instance that starts while the platform's
+// configuration service is down gets a configuration at all, and how an
+// accepted change reaches a zone that has lost the service, or sees a stale
+// replica of it, but not its peers. Nothing is written anywhere: a peer hands
+// on what it has in force, and versions only go forward.
+package relay
+
+import (
+	"compress/gzip"
+	"context"
+	"encoding/json"
+	"io"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/quic-go/quic-go"
+	"github.com/sirupsen/logrus"
+
+	"github.com/indigoyoke/indigoyoke/pkg/service"
+	"github.com/indigoyoke/indigoyoke/pkg/topology"
+	"github.com/indigoyoke/indigoyoke/pkg/wire"
+)
+
+// Protocol limits.
+const (
+	exchangeTimeout = time.Second
+	// maxAskBytes and maxReplyBytes bound what one side reads; a
+	// configuration of 5,200 leafs is about 340 KB.
+	maxAskBytes   = 256
+	maxReplyBytes = 16 << 20
+	idleTimeout   = 30 * time.Second
+	// startInterval replaces the interval while there is no configuration.
+	startInterval = 100 * time.Millisecond
+)
+
+// Application error codes on a relay connection.
+const (
+	codeStopping quic.ApplicationErrorCode = 0
+	codeFailed   quic.ApplicationErrorCode = 1
+)
+
+// Source is where a relay takes from and gives to: the configuration watch.
+type Source interface {
+	// Current is the configuration in force, nil before the first.
+	Current() *topology.Config
+	// Offer puts a configuration in force if it is newer, and reports
+	// whether it did.
+	Offer(*topology.Config) bool
+}
+
+// Options are a relay's settings. Listen is host:port (UDP); Peers are the
+// other entry instances' relay addresses; Secret is shared by all of them;
+// Interval is the time between questions.
+type Options struct {
+	Listen   string
+	Peers    []string
+	Secret   string
+	Interval time.Duration
+}
+
+// ask is one question: the version the asker has in force, 0 for none. The
+// answer is a gzipped wire.ConfigReply, with the configuration if newer.
+type ask struct {
+	Version int64 `json:"version"`
+}
+
+// Relay answers its peers and asks them.
+type Relay struct {
+	interval  time.Duration
+	source    Source
+	log       *logrus.Entry
+	transport *quic.Transport
+	listener  *quic.Listener
+	dialer    dialer
+	mu        sync.Mutex
+	peers     []string
+	wg        sync.WaitGroup
+
+	asked  *metrics.Counter
+	failed *metrics.Counter
+	taken  *metrics.Counter
+	served *metrics.Counter
+}
+
+// New binds the relay's address.
+func New(o Options, src Source, set *metrics.Set, log *logrus.Entry) (*Relay, error) {
+	tlsConf, err := tlsConfig(o.Secret)
+	if err != nil {
+		return nil, err
+	}
+	conn, err := listenUDP(o.Listen)
+	if err != nil {
+		return nil, err
+	}
+	quicConf := &quic.Config{MaxIdleTimeout: idleTimeout, HandshakeIdleTimeout: exchangeTimeout}
+	tr := &quic.Transport{Conn: conn}
+	ln, err := tr.Listen(tlsConf, quicConf)
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return &Relay{
+		interval: o.Interval, source: src, log: log, transport: tr, listener: ln, peers: slices.Clone(o.Peers),
+		dialer: dialer{transport: tr, tls: tlsConf, quic: quicConf, conns: map[string]*quic.Conn{}},
+		asked:  set.NewCounter("relay_asked_total"),
+		failed: set.NewCounter("relay_ask_failures_total"),
+		taken:  set.NewCounter("relay_configs_taken_total"),
+		served: set.NewCounter("relay_configs_served_total"),
+	}, nil
+}
+
+// Addr is the bound address.
+func (r *Relay) Addr() string { return r.listener.Addr().String() }
+
+// SetPeers replaces the peers that are asked.
+func (r *Relay) SetPeers(peers []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.peers = slices.Clone(peers)
+}
+
+// Run answers and asks until ctx ends.
+func (r *Relay) Run(ctx context.Context) {
+	r.wg.Add(1)
+	go func() { defer r.wg.Done(); r.accept(ctx) }()
+	for ctx.Err() == nil {
+		r.askSomeone(ctx)
+		service.Sleep(ctx, r.pause())
+	}
+	r.dialer.closeAll()
+	_ = r.listener.Close()
+	r.wg.Wait()
+	_ = r.transport.Close()
+	_ = r.transport.Conn.Close()
+}
+
+// pause is the time until the next question: the interval, give or take a
+// quarter so that peers started together do not ask together.
+func (r *Relay) pause() time.Duration {
+	d := r.interval
+	if r.source.Current() == nil {
+		d = min(d, startInterval)
+	}
+	return d*3/4 + time.Duration(rand.Int64N(int64(d/2)+1))
+}
+
+func (r *Relay) peer() (string, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.peers) == 0 {
+		return "", false
+	}
+	return r.peers[rand.IntN(len(r.peers))], true
+}
+
+// askSomeone asks one random peer and puts a newer configuration in force.
+func (r *Relay) askSomeone(ctx context.Context) {
+	addr, ok := r.peer()
+	if !ok {
+		return
+	}
+	r.asked.Inc()
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	cfg, err := r.exchange(ctx, addr)
+	if err != nil {
+		r.failed.Inc()
+		r.dialer.drop(addr)
+		return
+	}
+	if cfg != nil && cfg.Validate() == nil && r.source.Offer(cfg) {
+		r.taken.Inc()
+		r.log.WithField("peer", addr).WithField("version", cfg.Version).Info("configuration taken from a peer")
+	}
+}
+
+// exchange asks the peer at addr; nil means it has nothing newer.
+func (r *Relay) exchange(ctx context.Context, addr string) (*topology.Config, error) {
+	conn, err := r.dialer.conn(ctx, addr)
+	if err != nil {
+		return nil, err
+	}
+	stream, err := conn.OpenStreamSync(ctx)
+	if err != nil {
+		return nil, err
+	}
+	defer stream.CancelRead(0)
+	if end, ok := ctx.Deadline(); ok {
+		_ = stream.SetDeadline(end)
+	}
+	if err := json.NewEncoder(stream).Encode(ask{Version: version(r.source.Current())}); err != nil {
+		return nil, err
+	}
+	if err := stream.Close(); err != nil {
+		return nil, err
+	}
+	return readReply(stream)
+}
+
+func readReply(from io.Reader) (*topology.Config, error) {
+	unzip, err := gzip.NewReader(from)
+	if err != nil {
+		return nil, err
+	}
+	var reply wire.ConfigReply
+	err = json.NewDecoder(io.LimitReader(unzip, maxReplyBytes)).Decode(&reply)
+	return reply.Config, err
+}
+
+func version(c *topology.Config) int64 {
+	if c == nil {
+		return 0
+	}
+	return c.Version
+}
+
+// accept serves peers' connections until ctx ends.
+func (r *Relay) accept(ctx context.Context) {
+	for {
+		conn, err := r.listener.Accept(ctx)
+		if err != nil {
+			return
+		}
+		r.wg.Add(1)
+		go func() { defer r.wg.Done(); r.serve(ctx, conn) }()
+	}
+}
+
+func (r *Relay) serve(ctx context.Context, conn *quic.Conn) {
+	defer func() { _ = conn.CloseWithError(codeStopping, "") }()
+	for {
+		stream, err := conn.AcceptStream(ctx)
+		if err != nil {
+			return
+		}
+		_ = stream.SetDeadline(time.Now().Add(exchangeTimeout))
+		if r.answer(stream) != nil {
+			stream.CancelRead(quic.StreamErrorCode(codeFailed))
+			stream.CancelWrite(quic.StreamErrorCode(codeFailed))
+		}
+	}
+}
+
+// answer replies to one question with the configuration in force if it is
+// newer than the asker's.
+func (r *Relay) answer(stream *quic.Stream) error {
+	var q ask
+	if err := json.NewDecoder(io.LimitReader(stream, maxAskBytes)).Decode(&q); err != nil {
+		return err
+	}
+	reply := wire.ConfigReply{}
+	if cfg := r.source.Current(); cfg != nil {
+		reply.Version = cfg.Version
+		if cfg.Version > q.Version {
+			reply.Config = cfg
+			r.served.Inc()
+		}
+	}
+	zip := gzip.NewWriter(stream)
+	if err := json.NewEncoder(zip).Encode(reply); err != nil {
+		return err
+	}
+	if err := zip.Close(); err != nil {
+		return err
+	}
+	return stream.Close()
+}
--- /dev/null
+++ b/pkg/relay/relay_test.go
@@ -0,0 +1,100 @@
+package relay
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
+	"github.com/stretchr/testify/require"
+
+	"github.com/indigoyoke/indigoyoke/pkg/topology"
+)
+
+const testSecret = "a secret for these tests"
+
+// store is a Source that keeps the newest version offered.
+type store struct {
+	mu  sync.Mutex
+	cfg *topology.Config
+}
+
+func (s *store) Current() *topology.Config {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.cfg
+}
+
+func (s *store) Offer(c *topology.Config) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.cfg != nil && c.Version <= s.cfg.Version {
+		return false
+	}
+	s.cfg = c
+	return true
+}
+
+// startRelay runs a relay holding version v (0: none) until the test ends.
+func startRelay(t *testing.T, secret string, v int64, peers ...string) (*Relay, *store) {
+	src := &store{}
+	if v > 0 {
+		src.cfg = &topology.Config{Version: v}
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	o := Options{Listen: "127.0.0.1:0", Peers: peers, Secret: secret, Interval: 20 * time.Millisecond}
+	r, err := New(o, src, metrics.NewSet(), logrus.NewEntry(log))
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { r.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+	return r, src
+}
+
+// TestNewerConfigurationSpreads checks that a version held by one peer
+// reaches the others, that an older one replaces nothing, and that a peer
+// restarted on the same address is asked again.
+func TestNewerConfigurationSpreads(t *testing.T) {
+	newest, _ := startRelay(t, testSecret, 7)
+	older, olderSrc := startRelay(t, testSecret, 3, newest.Addr())
+	_, fresh := startRelay(t, testSecret, 0, older.Addr())
+	require.Eventually(t, func() bool { return version(olderSrc.Current()) == 7 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return version(fresh.Current()) == 7 }, 5*time.Second, time.Millisecond)
+	newest.SetPeers([]string{older.Addr()})
+	require.Eventually(t, func() bool { return newest.asked.Get() > 3 }, 5*time.Second, time.Millisecond)
+	require.Zero(t, newest.taken.Get(), "took a configuration it had")
+}
+
+// TestPeerWithoutTheSecretGetsAndGivesNothing proves that only entry
+// instances of the installation relay configurations.
+//
+// Symptom: a configuration nobody accepted is in force.
+// Sequence: two processes with another secret are among an entry instance's
+// peers; one offers version 99, the other has nothing and asks.
+// Cause it guards against: trusting whoever answers at a peer's address.
+func TestPeerWithoutTheSecretGetsAndGivesNothing(t *testing.T) {
+	const otherSecret = "another installation's secret"
+	giver, _ := startRelay(t, otherSecret, 99)
+	honest, honestSrc := startRelay(t, testSecret, 1, giver.Addr())
+	taker, takerSrc := startRelay(t, otherSecret, 0, honest.Addr())
+	require.Eventually(t, func() bool { return honest.failed.Get() >= 3 && taker.failed.Get() >= 3 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, int64(1), version(honestSrc.Current()))
+	require.Zero(t, version(takerSrc.Current()))
+	require.Zero(t, honest.served.Get())
+	require.Zero(t, giver.served.Get())
+}
+
+// FuzzReadReply checks that no bytes from a peer crash the reader.
+func FuzzReadReply(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte("\x1f\x8b\x08\x00\x00\x00\x00\x00"))
+	f.Fuzz(func(_ *testing.T, raw []byte) {
+		_, _ = readReply(bytes.NewReader(raw))
+	})
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -37,6 +37,12 @@
 	Policy           string `yaml:"policy"`
 	HedgeBudgetPct   int    `yaml:"hedge_budget_percent"`
 	HedgeMinMs       int    `yaml:"hedge_min_ms"`
+	// RelayListen, when set, is where peers ask for the configuration (UDP);
+	// Peers are their relay addresses and RelaySecret what all share.
+	RelayListen     string   `yaml:"relay_listen"`
+	RelayIntervalMs int      `yaml:"relay_interval_ms"`
+	RelaySecret     string   `yaml:"relay_secret"`
+	Peers           []string `yaml:"peers"`
 	// ZonePenaltyMs is what a leaf call to another zone is taken to cost
 	// beyond its measured latency.
 	ZonePenaltyMs float64 `yaml:"zone_penalty_ms"`
@@ -102,6 +108,8 @@
 	defaultHedgeBudget   = 10
 	defaultHedgeMinMs    = 5
 	defaultZonePenaltyMs = 2.0
+	defaultRelayInterval = 1000
+	minRelaySecret       = 16
 	defaultSlots         = 2
 	defaultMaxConns      = 25
 	defaultReadsPerSec   = 2000
@@ -167,6 +175,7 @@
 	fillInt(&s.PauseLimitMs, defaultPauseLimitMs)
 	fillInt(&s.HedgeBudgetPct, defaultHedgeBudget)
 	fillInt(&s.HedgeMinMs, defaultHedgeMinMs)
+	fillInt(&s.RelayIntervalMs, defaultRelayInterval)
 	if s.ZonePenaltyMs == 0 {
 		s.ZonePenaltyMs = defaultZonePenaltyMs
 	}
@@ -178,6 +187,7 @@
 		between("hedge_budget_percent", s.HedgeBudgetPct, 0, 100),
 		positive("hedge_min_ms", s.HedgeMinMs),
 		positive("zone_penalty_ms", s.ZonePenaltyMs),
+		s.checkRelay(),
 		required("name", s.Name),
 		required("zone", s.Zone),
 		hostPort("listen", s.Listen),
@@ -194,6 +204,25 @@
 	)
 }
 
+// checkRelay checks the relay's fields, which go together.
+func (s *Entry) checkRelay() error {
+	if s.RelayListen == "" {
+		if len(s.Peers) > 0 {
+			return invalid("relay_listen", "is required with peers")
+		}
+		return nil
+	}
+	errs := []error{
+		hostPort("relay_listen", s.RelayListen),
+		positive("relay_interval_ms", s.RelayIntervalMs),
+		atLeast("relay_secret length", len(s.RelaySecret), minRelaySecret),
+	}
+	for i, p := range s.Peers {
+		errs = append(errs, hostPort("peers["+strconv.Itoa(i)+"]", p))
+	}
+	return firstErr(errs...)
+}
+
 // Check fills defaults and validates every field.
 func (s *Backend) Check() error {
 	fillInt(&s.Slots, defaultSlots)
