--- a/pkg/backend/control.go
+++ b/pkg/backend/control.go
@@ -36,6 +36,9 @@
 	// ActCut drops every leaf request from the listed availability zones
 	// without a reply, as a network partition between zones does.
 	ActCut Action = "cut"
+	// ActLoseReplies runs every request but loses the replies of Percent of
+	// them, as a connection lost on the way back does.
+	ActLoseReplies Action = "lose_replies"
 	// ActHandOff moves the shard named first in Shards, of index Index, to
 	// the backend server at To with its hold records; that server gets it
 	// by ActAdopt.
@@ -44,7 +47,8 @@
 )
 
 // Control is the body of a control request. DelayMs, Shards and Percent go
-// with slow (no shards: every shard; no percent: every request); Index and
+// with slow (no shards: every shard; no percent: every request); Percent
+// alone with lose_replies; Index and
 // Snapshot with publish and drop.
 type Control struct {
 	Action   Action   `json:"action"`
@@ -69,6 +73,7 @@
 	Newest     bool     `json:"serve_newest,omitempty"`
 	Crossed    bool     `json:"cross_replies,omitempty"`
 	CutZones   []string `json:"cut_zones,omitempty"`
+	LosePct    int      `json:"lose_percent,omitempty"`
 }
 
 // slows decides whether one request to shard is slowed: stragglers come
@@ -137,6 +142,8 @@
 		b.faults.Newest = true
 	case ActCrossReplies:
 		b.faults.Crossed = true
+	case ActLoseReplies:
+		b.faults.LosePct = ctl.Percent
 	case ActCut:
 		b.faults.CutZones = ctl.Zones
 	case ActHeal:
--- a/pkg/backend/handoff.go
+++ b/pkg/backend/handoff.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
@@ -102,3 +104,10 @@
 	l.shards[s.Shard] = true
 	return nil
 }
+
+// RanHolds lists the idempotency keys of the holds on this server's record.
+func (b *Server) RanHolds() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return slices.Collect(maps.Keys(b.holds))
+}
--- a/pkg/backend/leaf.go
+++ b/pkg/backend/leaf.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -24,14 +25,16 @@
 	// the request it read before the freeze.
 	b.waitThawed()
 	if b.isCutFrom(req.FromZone) {
-		// A partition: the request never arrives. Hold the connection
-		// until the caller's deadline and answer nothing that counts.
-		time.Sleep(max(time.Until(time.UnixMilli(req.DeadlineUnixMs)), 0) + cutSlack)
-		c.AbortWithStatus(503)
+		// A partition: the request never arrives.
+		answerNothing(c, req)
 		return
 	}
 	b.received.Inc()
 	resp := b.serve(req)
+	if b.losesReply() {
+		answerNothing(c, req)
+		return
+	}
 	resp.RequestID, resp.Shard = req.RequestID, req.Shard
 	if resp.Snapshot == 0 {
 		resp.Snapshot = req.Snapshot
@@ -98,6 +101,19 @@
 // caller sees a timeout and not a reply.
 const cutSlack = 50 * time.Millisecond
 
+// answerNothing keeps the connection open past the caller's deadline and
+// then answers nothing that counts.
+func answerNothing(c *app.RequestContext, req wire.LeafRequest) {
+	time.Sleep(max(time.Until(time.UnixMilli(req.DeadlineUnixMs)), 0) + cutSlack)
+	c.AbortWithStatus(503)
+}
+
+func (b *Server) losesReply() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.faults.LosePct > 0 && rand.IntN(100) < b.faults.LosePct
+}
+
 func (b *Server) isCutFrom(zone string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/demo/faults_test.go
+++ b/pkg/demo/faults_test.go
@@ -172,7 +172,11 @@
 }
 
 func (s *session) quietHold(entryName string, req wire.HoldRequest) wire.Answer {
-	cl, err := caller.New("outreach-van", "outreach-van-key")
+	return s.quietHoldAs("outreach-van", "outreach-van-key", entryName, req)
+}
+
+func (s *session) quietHoldAs(app, key, entryName string, req wire.HoldRequest) wire.Answer {
+	cl, err := caller.New(app, key)
 	require.NoError(s.t, err)
 	a, err := cl.Hold(context.Background(), s.c.Entries[entryName].Addr(), req)
 	require.NoError(s.t, err)
