--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
+	"fmt"
 	"io"
 	"sync"
 	"testing"
@@ -90,6 +92,31 @@
 	require.Zero(t, giver.served.Get())
 }
 
+// BenchmarkPack5200Leafs measures what a node that has lost the service
+// takes from a peer per change, at the two-year size.
+func BenchmarkPack5200Leafs(b *testing.B) {
+	const leafs = 5200
+	cfg := &topology.Config{Version: 1, Deployments: []topology.Deployment{{Name: "d", Indexes: []topology.Index{{Name: "i", Snapshot: 1}}}}}
+	ix := &cfg.Deployments[0].Indexes[0]
+	for i := range leafs {
+		name := fmt.Sprintf("zone-%d-unit-%d", i%10, i/2)
+		if i%2 == 0 {
+			cfg.Backends = append(cfg.Backends, topology.BackendServer{Name: name, Zone: fmt.Sprintf("zone-%d", i%10), Addr: fmt.Sprintf("10.%d.%d.%d:8104", i%10, i/256, i%256), MaxConns: 25})
+			ix.Shards = append(ix.Shards, topology.Shard{ID: fmt.Sprintf("s%04d", i), Leafs: []string{name}})
+		}
+	}
+	var size int
+	for b.Loop() {
+		packed, err := pack(cfg)
+		require.NoError(b, err)
+		size = len(packed)
+	}
+	plain, err := json.Marshal(cfg)
+	require.NoError(b, err)
+	b.ReportMetric(float64(size), "packed_bytes")
+	b.ReportMetric(float64(len(plain)), "json_bytes")
+}
+
 // FuzzReadReply checks that no bytes from a peer crash the reader.
 func FuzzReadReply(f *testing.F) {
 	f.Add([]byte{})
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -93,7 +93,7 @@
 
 // Defaults for fields left out.
 const (
-	defaultWorkers       = 256
+	defaultWorkers       = 2048
 	defaultMaxInFlight   = 512
 	defaultConns         = 16
 	defaultEntries       = 8
