--- a/pkg/demo/session_test.go
+++ b/pkg/demo/session_test.go
@@ -58,7 +58,11 @@
 }
 
 func (s *session) quietSearch(entryName string, req wire.SearchRequest) wire.Answer {
-	cl, err := caller.New("cad-viewer", "cad-viewer-key")
+	return s.searchAs("cad-viewer", "cad-viewer-key", entryName, req)
+}
+
+func (s *session) searchAs(app, key, entryName string, req wire.SearchRequest) wire.Answer {
+	cl, err := caller.New(app, key)
 	require.NoError(s.t, err)
 	a, err := cl.Search(context.Background(), s.c.Entries[entryName].Addr(), req)
 	require.NoError(s.t, err)
--- a/pkg/demo/together_test.go
+++ b/pkg/demo/together_test.go
@@ -225,12 +225,7 @@
 // searchUntil searches through the entry instances in turn.
 func (s *session) searchUntil(stop chan struct{}, w *witness, n int, text string) {
 	q := wire.SearchRequest{Deployment: Deployment(Lipovec), Index: "viewer-api", Text: text, TimeoutMs: 120}
-	for i := n; ; i++ {
-		select {
-		case <-stop:
-			return
-		default:
-		}
+	for i := n; s.running(stop); i++ {
 		w.search(s.quietSearch(s.c.EntryNames()[i%4], q), text)
 		time.Sleep(5 * time.Millisecond)
 	}
@@ -239,12 +234,7 @@
 // holdUntil sends holds, each with a new key, each tried twice through two
 // entry instances when the first answer is not a result.
 func (s *session) holdUntil(stop chan struct{}, w *witness, n int) {
-	for i := 0; ; i++ {
-		select {
-		case <-stop:
-			return
-		default:
-		}
+	for i := 0; s.running(stop); i++ {
 		key := fmt.Sprintf("order-%d-%d", n, i)
 		for try := 0; try < 2; try++ {
 			a := s.holdByKey(key, n, i+try)
