A full server is waited for a part of the time left; refused connections are not run

(2) a refused connection was taken for a lost reply. Ruled out: no wait at all (the burst of TestConnectionLimitKept then misses shards).

Change: a leaf call waits for a permit for a quarter of the time left, then is not sent (IY3008, not run) and a search goes to the next replica; a failed dial answers IY3002, not run.

--- a/pkg/entry/leafcall.go
+++ b/pkg/entry/leafcall.go
@@ -7,6 +7,7 @@
 
 	"github.com/indigoyoke/indigoyoke/pkg/backend"
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
+	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
@@ -28,7 +29,7 @@
 func (e *Entry) send(ctx context.Context, c candidate, leaf wire.LeafRequest) shardResult {
 	c.row.inFlight.Add(1)
 	defer c.row.inFlight.Add(-1)
-	if !take(ctx, c.permits.calls) {
+	if !c.permits.takeCall(ctx) {
 		return shardResult{shard: leaf.Shard, code: errcode.ShardNotSent, msg: errcode.ShardNotSent.Name()}
 	}
 	defer func() { <-c.permits.calls }()
@@ -44,6 +45,9 @@
 			return shardResult{shard: leaf.Shard, code: errcode.ShardTimeout, msg: errcode.ShardTimeout.Name()}
 		}
 		e.backends.observe(c.row, took, failed, false, time.Now())
+		if service.NotSent(err) {
+			return shardResult{shard: leaf.Shard, code: errcode.ShardUnavailable, msg: "connection refused: not run"}
+		}
 		return shardResult{shard: leaf.Shard, code: errcode.ShardFailed, msg: err.Error()}
 	}
 	if e.backends.observe(c.row, took, outcomeOf(resp.Code), resp.Draining, time.Now()) {
--- a/pkg/entry/permits.go
+++ b/pkg/entry/permits.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
 )
@@ -40,6 +41,24 @@
 	return min(limit, max(b.MaxConns/entryInstances, 1))
 }
 
+// callWaitPart of the time a request has left is how long a leaf call waits
+// for a permit. Waiting to the deadline would hold a search at a server that
+// is full while another replica is free, and keep a hold that cannot be sent
+// from its answer; giving up at once would turn each short burst into shards
+// not sent.
+const callWaitPart = 4
+
+// takeCall takes a permit for a leaf call, waiting a part of the time left.
+func (p permits) takeCall(ctx context.Context) bool {
+	end, ok := ctx.Deadline()
+	if !ok {
+		return take(ctx, p.calls)
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Until(end)/callWaitPart)
+	defer cancel()
+	return take(ctx, p.calls)
+}
+
 // take waits for a permit until ctx ends.
 func take(ctx context.Context, p chan struct{}) bool {
 	select {
--- a/pkg/service/client.go
+++ b/pkg/service/client.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/cloudwego/hertz/pkg/app/client"
@@ -80,5 +82,13 @@
 	return status, nil
 }
 
+// NotSent reports whether err, from Do, shows that no byte of the request
+// left: the connection could not be opened. Only then may a not-repeatable
+// request be called "not run"; after any other error it may have run.
+func NotSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
 // Close releases idle connections.
 func (c *Client) Close() { c.c.CloseIdleConnections() }
