--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -58,4 +58,7 @@
 q hold --entry 127.0.0.1:17207 --app outreach-van --key outreach-van-key --deployment lakeshore-haven --index shelter-console --shard s03 --item s03-room-0 --idempotency-key van12-dusk-1
 q control --addr 127.0.0.1:17204 --body '{"action":"slow","delay_ms":1000}'
 q search --entry 127.0.0.1:17207 --app crisis-line --key crisis-line-key --deployment lakeshore-haven --index shelter-console --text open --limit 1 --timeout-ms 300
+echo; echo "== the other replica slow too: two shards are honestly missing"
+q control --addr 127.0.0.1:17202 --body '{"action":"slow","delay_ms":1000}'
+q search --entry 127.0.0.1:17207 --app crisis-line --key crisis-line-key --deployment lakeshore-haven --index shelter-console --text open --limit 1 --timeout-ms 300
 q dump --addr 127.0.0.1:17205 | head -20
