A search's last replica is waited for to the deadline

Ruled out: a larger part (only moves the burst).

Change: a call waits the quarter while there is another replica to try or, for a hold, a refusal to give; on a search's last replica it waits as long as the deadline allows.

--- a/pkg/entry/fanout.go
+++ b/pkg/entry/fanout.go
@@ -114,12 +114,14 @@
 	c, attempt := r.cands[r.sent], r.sent
 	leaf := f.leaf
 	leaf.Shard = f.shards[i].ID
-	task := func() { f.replies <- leafReply{shard: i, attempt: attempt, result: f.e.send(f.ctx, c, leaf)} }
+	r.sent++
+	patient := !r.another()
+	task := func() { f.replies <- leafReply{shard: i, attempt: attempt, result: f.e.send(f.ctx, c, leaf, patient)} }
 	if f.e.pool.Submit(task) != nil {
+		r.sent--
 		return false
 	}
 	r.waiting[attempt] = true
-	r.sent++
 	r.pending++
 	return true
 }
--- a/pkg/entry/hold.go
+++ b/pkg/entry/hold.go
@@ -57,5 +57,5 @@
 	if len(cands) == 0 || ctx.Err() != nil {
 		return shardResult{shard: s.ID, code: errcode.ShardUnavailable, msg: "no live leaf"}
 	}
-	return e.send(ctx, cands[0], leaf)
+	return e.send(ctx, cands[0], leaf, false)
 }
--- a/pkg/entry/leafcall.go
+++ b/pkg/entry/leafcall.go
@@ -25,11 +25,12 @@
 }
 
 // send makes one leaf call, once there is a connection for it, and checks
-// that the reply belongs to it.
-func (e *Entry) send(ctx context.Context, c candidate, leaf wire.LeafRequest) shardResult {
+// that the reply belongs to it. A patient call waits for the connection as
+// long as it takes.
+func (e *Entry) send(ctx context.Context, c candidate, leaf wire.LeafRequest, patient bool) shardResult {
 	c.row.inFlight.Add(1)
 	defer c.row.inFlight.Add(-1)
-	if !c.permits.takeCall(ctx) {
+	if !c.permits.takeCall(ctx, patient) {
 		return shardResult{shard: leaf.Shard, code: errcode.ShardNotSent, msg: errcode.ShardNotSent.Name()}
 	}
 	defer func() { <-c.permits.calls }()
--- a/pkg/entry/permits.go
+++ b/pkg/entry/permits.go
@@ -42,16 +42,18 @@
 }
 
 // callWaitPart of the time a request has left is how long a leaf call waits
-// for a permit. Waiting to the deadline would hold a search at a server that
-// is full while another replica is free, and keep a hold that cannot be sent
-// from its answer; giving up at once would turn each short burst into shards
-// not sent.
+// for a permit while there is something better to do than wait: another
+// replica to try, or, for a hold, an answer to give. Waiting to the deadline
+// would hold a search at a server that is full while another replica is
+// free, and a hold that cannot be sent from its refusal.
 const callWaitPart = 4
 
-// takeCall takes a permit for a leaf call, waiting a part of the time left.
-func (p permits) takeCall(ctx context.Context) bool {
+// takeCall takes a permit for a leaf call. A patient call waits as long as
+// ctx allows: on a search's last replica, giving up sooner would only turn a
+// short burst into shards not sent.
+func (p permits) takeCall(ctx context.Context, patient bool) bool {
 	end, ok := ctx.Deadline()
-	if !ok {
+	if !ok || patient {
 		return take(ctx, p.calls)
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Until(end)/callWaitPart)
