Read the whole change again: one cancel per server, a metric that never moved

- onEnd keyed its cancel messages by candidate, whose cost differs between shards when requests in flight change during the first sends, so a caller that left could cost a server several messages where the comment promises one.
Keyed by the backend row.
- entry_answer_seconds was registered and documented but never updated; both handlers now record it.
- call carried the configuration and deployment that nothing read.
- hedge.go converted milliseconds by hand beside settings.Duration; the tests' search and hold repeated searchAs and quietHoldAs.

--- a/pkg/demo/session_test.go
+++ b/pkg/demo/session_test.go
@@ -40,19 +40,13 @@
 }
 
 func (s *session) search(entryName, app, key string, req wire.SearchRequest) wire.Answer {
-	cl, err := caller.New(app, key)
-	require.NoError(s.t, err)
-	a, err := cl.Search(context.Background(), s.c.Entries[entryName].Addr(), req)
-	require.NoError(s.t, err)
+	a := s.searchAs(app, key, entryName, req)
 	fmt.Fprintf(&s.out, "> search %s/%s %q as %s via %s\n< %s", req.Deployment, req.Index, req.Text, app, entryName, caller.Render(a))
 	return a
 }
 
 func (s *session) hold(entryName, app, key string, req wire.HoldRequest) wire.Answer {
-	cl, err := caller.New(app, key)
-	require.NoError(s.t, err)
-	a, err := cl.Hold(context.Background(), s.c.Entries[entryName].Addr(), req)
-	require.NoError(s.t, err)
+	a := s.quietHoldAs(app, key, entryName, req)
 	fmt.Fprintf(&s.out, "> hold %s/%s/%s %s key=%s as %s via %s\n< %s", req.Deployment, req.Index, req.Shard, req.Item, req.IdempotencyKey, app, entryName, caller.Render(a))
 	return a
 }
--- a/pkg/entry/handlers.go
+++ b/pkg/entry/handlers.go
@@ -31,17 +31,16 @@
 	c.JSON(status, h)
 }
 
-// call is what every request shares once admitted: its ID, the pinned
-// configuration, the authenticated client application and the deadline.
+// call is what every request shares once admitted: its ID, the index of the
+// pinned configuration and the deadline.
 type call struct {
 	id       string
-	cfg      *topology.Config
-	dep      *topology.Deployment
 	index    *topology.Index
 	deadline time.Time
 }
 
 func (e *Entry) handleSearch(ctx context.Context, c *app.RequestContext) {
+	defer e.stats.latency.UpdateDuration(time.Now())
 	var req wire.SearchRequest
 	if err := service.DecodeBody(c, &req); err != nil {
 		e.reply(c, PathSearch, e.refusal("", errcode.BadRequest, err.Error()))
@@ -57,6 +56,7 @@
 }
 
 func (e *Entry) handleHold(ctx context.Context, c *app.RequestContext) {
+	defer e.stats.latency.UpdateDuration(time.Now())
 	var req wire.HoldRequest
 	if err := service.DecodeBody(c, &req); err != nil {
 		e.reply(c, PathHold, e.refusal("", errcode.BadRequest, err.Error()))
@@ -121,7 +121,7 @@
 		e.stats.shed.Inc()
 		return nil, ptr(e.refusal(id, errcode.EntryOverloaded, "too many requests in flight"))
 	}
-	return &call{id: id, cfg: cfg, dep: dep, index: ix, deadline: time.Now().Add(timeout)}, nil
+	return &call{id: id, index: ix, deadline: time.Now().Add(timeout)}, nil
 }
 
 func (e *Entry) timeout(ms int) (time.Duration, errcode.Code) {
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/indigoyoke/indigoyoke/pkg/settings"
 )
 
 // Hedging bounds.
@@ -52,6 +54,6 @@
 // the 90th percentile of its recent latencies, at least hedge_min_ms (and
 // exactly that until a window of samples is in).
 func (e *Entry) hedgeDelay(c candidate) time.Duration {
-	floor := time.Duration(e.set.HedgeMinMs) * time.Millisecond
+	floor := settings.Duration(e.set.HedgeMinMs)
 	return max(fromMs(e.backends.hedgeAt(c.row)), floor)
 }
--- a/pkg/entry/leafcall.go
+++ b/pkg/entry/leafcall.go
@@ -90,21 +90,25 @@
 		return
 	}
 	f.e.stats.callersLeft.Inc()
-	byServer := map[candidate]*wire.CancelRequest{}
+	type server struct {
+		candidate
+		shards []string
+	}
+	byRow := map[*backendRow]*server{}
 	for i := range f.rows {
 		for attempt, waiting := range f.rows[i].waiting {
 			if !waiting {
 				continue
 			}
 			c := f.rows[i].cands[attempt]
-			if byServer[c] == nil {
-				byServer[c] = &wire.CancelRequest{RequestID: f.leaf.RequestID}
+			if byRow[c.row] == nil {
+				byRow[c.row] = &server{candidate: c}
 			}
-			byServer[c].Shards = append(byServer[c].Shards, f.shards[i].ID)
+			byRow[c.row].shards = append(byRow[c.row].shards, f.shards[i].ID)
 		}
 	}
-	for c, req := range byServer {
-		f.e.cancelLeafs(c, *req)
+	for _, s := range byRow {
+		f.e.cancelLeafs(s.candidate, wire.CancelRequest{RequestID: f.leaf.RequestID, Shards: s.shards})
 	}
 }
 
