Try: put off shards whose leafs are all busy, free attempts without a connection

Change: busy or down shards are looked at again each 15 ms; attempts that found no connection use no budget.

--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -36,8 +36,9 @@
 // against the target latencies (60 ms and up).
 const retryStep = 15 * time.Millisecond
 
-// maxAttempts bounds the leafs tried per shard whatever the route allows.
-const maxAttempts = 4
+// MaxAttempts bounds the attempts per shard, those that found no connection
+// included: about one each retryStep until the shortest target has passed.
+const MaxAttempts = 5
 
 // Send tells the caller to send one request.
 type Send struct {
@@ -78,7 +79,9 @@
 	attempts []attempt
 	tried    []string
 	open     int
-	covered  bool
+	// unsent counts the attempts that found no connection.
+	unsent  int
+	covered bool
 	// out: nothing more is sent for this shard.
 	out     bool
 	verdict replica.Verdict
