--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -49,10 +49,8 @@
 		found[i] = placed{shard: i, placement: p}
 		q.shards[i].verdict = v
 		if v != replica.Placed {
-			q.putOff(i, p, v, now)
-			if v != replica.AllBusy {
-				refusal.Unreachable++
-			}
+			q.shards[i].out = true
+			refusal.Unreachable++
 		}
 	}
 	spare := len(q.shards) - q.need - refusal.Unreachable
@@ -72,20 +70,6 @@
 	return q.sendFirst(found, now), nil
 }
 
-// putOff puts off the first request of a shard that cannot be sent now.
-//
-// A shard whose leafs are all busy or down for a moment was left out for good
-// before. One notices whole queries refused or partial within 2 ms although a
-// connection is free 20 ms later. Only a shard without
-// any leaf, or whose leafs are probed too late, is out.
-func (q *Query) putOff(i int, p replica.Placement, v replica.Verdict, now time.Time) {
-	if v == replica.NoLeaf || (v == replica.AllDown && now.Add(p.Expected).After(q.softEnd)) {
-		q.shards[i].out = true
-		return
-	}
-	q.shards[i].lookAt = now.Add(retryStep)
-}
-
 // placed is a shard with the leaf found for it.
 type placed struct {
 	shard     int
@@ -101,7 +85,7 @@
 	left := q.softEnd.Sub(now)
 	var out []placed
 	for _, p := range found {
-		if q.shards[p.shard].verdict == replica.Placed && p.placement.Expected > left {
+		if !q.shards[p.shard].out && p.placement.Expected > left {
 			out = append(out, p)
 		}
 	}
@@ -115,7 +99,7 @@
 func (q *Query) sendFirst(found []placed, now time.Time) []Send {
 	sends := make([]Send, 0, len(found))
 	for _, p := range found {
-		if q.shards[p.shard].out || q.shards[p.shard].verdict != replica.Placed {
+		if q.shards[p.shard].out {
 			continue
 		}
 		sends = append(sends, q.send(p.shard, p.placement, First, now))
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -36,9 +36,8 @@
 // against the target latencies (60 ms and up).
 const retryStep = 15 * time.Millisecond
 
-// MaxAttempts bounds the attempts per shard, those that found no connection
-// included: about one each retryStep until the shortest target has passed.
-const MaxAttempts = 5
+// maxAttempts bounds the leafs tried per shard whatever the route allows.
+const maxAttempts = 4
 
 // Send tells the caller to send one request.
 type Send struct {
@@ -79,9 +78,7 @@
 	attempts []attempt
 	tried    []string
 	open     int
-	// unsent counts the attempts that found no connection.
-	unsent  int
-	covered bool
+	covered  bool
 	// out: nothing more is sent for this shard.
 	out     bool
 	verdict replica.Verdict
--- a/pkg/fanout/progress.go
+++ b/pkg/fanout/progress.go
@@ -1,7 +1,6 @@
 package fanout
 
 import (
-	"slices"
 	"time"
 
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
@@ -55,12 +54,6 @@
 	}
 	a.open = false
 	s.open--
-	if outcome == replica.NotSent {
-		s.unsent++
-	}
-	if outcome.NotRun() {
-		s.release(a.call.Leaf.ID)
-	}
 	if !outcome.NotRun() {
 		q.ran = true
 	}
@@ -77,23 +70,12 @@
 	return q.second(i, Repeat, now)
 }
 
-// release lets a leaf that did not run the request be asked again.
-func (s *shard) release(id string) {
-	if i := slices.Index(s.tried, id); i >= 0 {
-		s.tried = slices.Delete(s.tried, i, i+1)
-	}
-}
-
-// arrived is how many of the shard's requests may have reached a leaf: one
-// that found no connection used up neither an attempt nor the budget.
-func (s *shard) arrived() int { return len(s.attempts) - s.unsent }
-
 // second sends another request for shard i if the route, the budget and the
 // leafs allow it; otherwise the shard is looked at again a little later, or
 // left out.
 func (q *Query) second(i int, why Reason, now time.Time) []Send {
 	s := &q.shards[i]
-	if s.arrived() >= q.route.MaxAttempts || len(s.attempts) >= MaxAttempts {
+	if len(s.attempts) >= min(q.route.MaxAttempts, maxAttempts) {
 		s.out = s.open == 0
 		s.lookAt = time.Time{}
 		return nil
@@ -109,7 +91,7 @@
 	if v != replica.Placed || q.tooLate(p, now) {
 		return nil
 	}
-	if s.arrived() > 0 && !q.table.TakeSecond(service, now) {
+	if !q.table.TakeSecond(service, now) {
 		return nil
 	}
 	return []Send{q.send(i, p, why, now)}
@@ -140,9 +122,6 @@
 
 // why is the reason of a second request for s.
 func (q *Query) why(s *shard, now time.Time) Reason {
-	if s.arrived() == 0 {
-		return First
-	}
 	if s.open == 0 {
 		return Repeat
 	}
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -48,7 +48,7 @@
 	calls, endAll := context.WithCancel(context.WithoutCancel(ctx))
 	run := &gathering{
 		g: g, caller: ctx, calls: calls, endAll: endAll, req: req, route: route, query: query,
-		replies: make(chan arrival, len(route.Shards)*fanout.MaxAttempts),
+		replies: make(chan arrival, len(route.Shards)*max(route.MaxAttempts, 1)),
 		parts:   make([]*LeafReply, len(route.Shards)),
 	}
 	run.send(sends)
--- a/pkg/replica/placement.go
+++ b/pkg/replica/placement.go
@@ -99,8 +99,7 @@
 // Placement is a leaf chosen for a request.
 type Placement struct {
 	Leaf Leaf
-	// Expected is how long a reply is expected to take; with AllDown, how long
-	// until a leaf is probed again.
+	// Expected is how long a reply is expected to take.
 	Expected time.Duration
 	// Suspect: the leaf, or its zone, has been silent for longer than usual.
 	Suspect bool
@@ -114,7 +113,6 @@
 	verdict := NoLeaf
 	var best Placement
 	bestCost := time.Duration(0)
-	var probe time.Time
 	limit := t.connLimit(serviceName)
 	for _, r := range t.service(serviceName).leafs {
 		if r.Draining || slices.Contains(tried, r.ID) {
@@ -122,9 +120,6 @@
 		}
 		if !t.reachable(r, now) {
 			verdict = worse(verdict, AllDown)
-			if probe.IsZero() || r.downUntil.Before(probe) {
-				probe = r.downUntil
-			}
 			continue
 		}
 		if len(r.starts) >= limit {
@@ -136,9 +131,6 @@
 			verdict, best, bestCost = Placed, p, cost
 		}
 	}
-	if verdict == AllDown {
-		best.Expected = probe.Sub(now)
-	}
 	return best, verdict
 }
 
