--- a/pkg/gateway/single.go
+++ b/pkg/gateway/single.go
@@ -147,7 +147,7 @@
 
 // failed is the answer when no attempt is open and none can follow.
 func (r *singleRun) failed() Answer {
-	if r.last.Status != 0 && !r.last.Outcome.NotRun() && r.last.Outcome != replica.Broken {
+	if r.last.Outcome == replica.Failed {
 		return Answer{Code: errcode.OK, Relayed: &r.last}
 	}
 	if !r.ran {
--- a/pkg/replica/placement.go
+++ b/pkg/replica/placement.go
@@ -22,9 +22,6 @@
 	silentFloor  = 15 * time.Millisecond
 	// suspectCost is added to a suspected leaf's cost: half of a usual pause.
 	suspectCost = 120 * time.Millisecond
-	// lateRefusal tells a refusal after a wait in the leaf's queue from one at
-	// the door, in multiples of the typical time.
-	lateRefusal = 2
 	// refusalsCap keeps the cost of a leaf that refuses everything finite.
 	refusalsCap = 0.95
 )
@@ -282,11 +279,6 @@
 	case Refused:
 		r.answered(now)
 		t.zoneReplied(r.Zone, now)
-		if took > lateRefusal*t.typicalFor(c.class, took) {
-			// Its time ran out in the leaf's queue.
-			r.learnSlowness(float64(took)/float64(t.typicalFor(c.class, took)), now)
-			return
-		}
 		r.learnRefusal(true, now)
 	case Misdirected:
 		r.failures = downAfter
@@ -298,8 +290,6 @@
 		r.learnRefusal(true, now)
 		r.fail(now)
 	case TimedOut:
-		// The leaf's own report that time ran out comes here too; silence
-		// is seen by silentFor.
 		r.learnSlowness(float64(took)/float64(t.typicalFor(c.class, took)), now)
 	}
 }
