An instance cut off from too many shards says that it is not ready

Restarted instances refused for 300 ms what they could serve 50 ms later. Change: a zone all of whose leafs are silent is suspected and probed by health checks; an instance for which some gather route lacks too many shards for that reason is not ready; the first configuration is waited for up to 200 ms and takes effect after the leafs of the same listing.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -90,7 +90,7 @@
 
 	calls    atomic.Int64
 	failures atomic.Int64
-	goodAt   atomic.Int64
+	goodAt   atomic.Pointer[time.Time]
 }
 
 // Calls is how many calls were made, Failures how many of them failed.
@@ -102,10 +102,10 @@
 // Age is how old the last answer of the store is; 0 before the first.
 func (f *Follower) Age(now time.Time) time.Duration {
 	at := f.goodAt.Load()
-	if at == 0 {
+	if at == nil {
 		return 0
 	}
-	return now.Sub(time.Unix(0, at))
+	return now.Sub(*at)
 }
 
 // NewFollower returns a follower that has read nothing yet.
@@ -163,6 +163,7 @@
 // was missed.
 func (f *Follower) list(ctx context.Context) error {
 	ids := make(map[string]bool)
+	var events []Event
 	next := ""
 	revision := int64(-1)
 	for {
@@ -176,7 +177,7 @@
 		if revision < 0 {
 			revision = page.Revision
 		}
-		f.apply(page.Events)
+		events = append(events, page.Events...)
 		for _, e := range page.Events {
 			if e.Leaf != nil {
 				ids[e.Leaf.ID] = true
@@ -188,13 +189,14 @@
 		next = page.Next
 	}
 	f.revision = revision
+	f.apply(events)
 	f.sink.Listed(ids)
 	f.log.State("store_listed", oplog.Fields{"revision": revision, "leafs": len(ids)})
 	return nil
 }
 
 // apply hands the events to the sink. Of several configurations only the last
-// one counts.
+// one counts, and it comes after the leafs, so that its routes have some.
 func (f *Follower) apply(events []Event) {
 	var config *routing.Config
 	for _, e := range events {
@@ -216,7 +218,7 @@
 func (f *Follower) succeeded() {
 	now := time.Now()
 	f.calls.Add(1)
-	f.goodAt.Store(now.UnixNano())
+	f.goodAt.Store(&now)
 	if !f.failingSince.IsZero() {
 		away := now.Sub(f.failingSince)
 		f.failingSince = time.Time{}
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -118,6 +118,9 @@
 	}
 }
 
+// Addr is the bound address.
+func (s *Server) Addr() string { return s.listener.Addr().String() }
+
 // Drain makes every answer from now on ask its caller to connect elsewhere.
 func (s *Server) Drain() { s.draining.Store(true) }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -64,6 +64,8 @@
 	// Do returns when the reply is read, the call failed, or shortly after its
 	// deadline. Cancelling ctx ends the work at the leaf.
 	Do(ctx context.Context, call LeafCall) LeafReply
+	// Probe reports whether a leaf answers a health check in time.
+	Probe(ctx context.Context, leaf replica.Leaf, path string, by time.Time) bool
 	// Forget releases what is held for a leaf that left.
 	Forget(leafID string)
 	// MergeParts returns the greatest k records of the parts' bodies.
@@ -110,7 +112,12 @@
 	log      *oplog.Log
 	stats    *stats
 	config   atomic.Pointer[routing.Config]
-	inFlight atomic.Int64
+	// configured is closed with the first configuration.
+	configured chan struct{}
+	// isolatedSince is when the instance was found isolated, nil when it is
+	// not.
+	isolatedSince atomic.Pointer[time.Time]
+	inFlight      atomic.Int64
 }
 
 // New returns a gateway without a configuration: it refuses until one is set.
@@ -121,7 +128,7 @@
 	}
 	g := &Gateway{
 		table: table, leafs: leafs, log: log, stats: stats,
-		splitter: routing.NewSplitter(), pool: pool,
+		splitter: routing.NewSplitter(), pool: pool, configured: make(chan struct{}),
 	}
 	g.opts.Store(&opts)
 	return g, nil
@@ -151,13 +158,15 @@
 	}
 	g.table.SetMaxConns(limits)
 	g.splitter.Reset()
-	g.config.Store(c)
+	if g.config.Swap(c) == nil {
+		close(g.configured)
+	}
 	return true
 }
 
 // Handle runs one request to its answer.
 func (g *Gateway) Handle(ctx context.Context, req *Request) Answer {
-	c := g.config.Load()
+	c := g.awaitConfig(ctx)
 	if c == nil {
 		return g.refuse(req, nil, errcode.NoConfiguration, g.opts.Load().RetryAfter)
 	}
@@ -181,6 +190,28 @@
 	return a
 }
 
+// firstConfigWait is how long a request waits for the first configuration. A
+// process that starts reads it within about 50 ms; refusing meanwhile would
+// send callers away for longer than that. With the store away, a request is
+// refused after this time.
+const firstConfigWait = 200 * time.Millisecond
+
+// awaitConfig returns the configuration in force, waiting a little for the
+// first one.
+func (g *Gateway) awaitConfig(ctx context.Context) *routing.Config {
+	if c := g.config.Load(); c != nil {
+		return c
+	}
+	timer := time.NewTimer(firstConfigWait)
+	defer timer.Stop()
+	select {
+	case <-g.configured:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return g.config.Load()
+}
+
 // deadline is when the final answer must be on its way: the caller's patience
 // or the route's timeout, whichever is first, less the margin to write it.
 func (g *Gateway) deadline(req *Request, route *routing.Route) time.Time {
@@ -215,15 +246,3 @@
 	}
 	return 0
 }
-
-// Tick runs the table's systems: lapsed leafs leave and zones that fell
-// silent are marked.
-func (g *Gateway) Tick(now time.Time) {
-	for _, id := range g.table.Sweep(now) {
-		g.leafs.Forget(id)
-		g.log.State("leaf_gone", oplog.Fields{"leaf": id, "reason": "not back after the store's return"})
-	}
-	for _, zone := range g.table.SuspectZones(now) {
-		g.log.State("zone_silent", oplog.Fields{"zone_suspected": zone})
-	}
-}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -55,6 +55,7 @@
 	draining atomic.Bool
 	leafs    gateway.Leafs
 	started  time.Time
+	cancel   context.CancelFunc
 }
 
 // New builds an instance from the settings file at path.
@@ -129,18 +130,46 @@
 
 // Run serves until a stop signal and then stops gracefully.
 func (n *Node) Run() {
-	ctx, cancel := context.WithCancel(context.Background())
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	n.Start()
+	n.waitForStop(signals)
+	n.Stop()
+}
+
+// CallersAddr is the bound address for callers.
+func (n *Node) CallersAddr() string { return n.front.Addr() }
+
+// ReadinessAddr is the bound address that the balancer asks.
+func (n *Node) ReadinessAddr() string { return n.status.all[0].Addr() }
+
+// Start serves in the background.
+func (n *Node) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	n.cancel = cancel
 	set := n.set.Load()
 	n.log.State("started", oplog.Fields{"callers": set.Listen.Callers, "store": set.Store.Address, "took_ms": time.Since(n.started).Milliseconds()})
 	n.status.start()
 	go n.front.Run()
 	go n.follower.Run(ctx)
 	go n.runTicks(ctx)
-	n.waitForStop(signals)
-	n.stop()
-	cancel()
+}
+
+// Stop leaves the balancer first, then refuses new connections and waits for
+// the requests in flight.
+//
+// The balancer goes on sending connections until it has missed two readiness
+// answers. Closing the listener at once would refuse them; one notices failed
+// connects around each planned stop.
+func (n *Node) Stop() {
+	set := n.set.Load()
+	n.draining.Store(true)
+	n.front.Drain()
+	time.Sleep(settings.Duration(set.Stop.LeaveMs))
+	ctx, cancel := context.WithTimeout(context.Background(), set.StopBudget())
+	defer cancel()
+	n.front.Stop(ctx)
+	n.cancel()
 	n.gateway.Close()
 	n.log.State("stopped", oplog.Fields{"in_flight": n.gateway.InFlight()})
 	n.log.Close(logDrain)
@@ -169,22 +198,6 @@
 	}
 }
 
-// stop leaves the balancer first, then refuses new connections and waits for
-// the requests in flight.
-//
-// The balancer goes on sending connections until it has missed two readiness
-// answers. Closing the listener at once would refuse them; one notices failed
-// connects around each planned stop.
-func (n *Node) stop() {
-	set := n.set.Load()
-	n.draining.Store(true)
-	n.front.Drain()
-	time.Sleep(settings.Duration(set.Stop.LeaveMs))
-	ctx, cancel := context.WithTimeout(context.Background(), set.StopBudget())
-	defer cancel()
-	n.front.Stop(ctx)
-}
-
 // runTicks runs the systems over the tables each tick.
 func (n *Node) runTicks(ctx context.Context) {
 	ticker := time.NewTicker(settings.Duration(n.set.Load().Tick))
@@ -201,4 +214,6 @@
 }
 
 // ready reports whether callers are to be sent here.
-func (n *Node) ready() bool { return n.gateway.Config() != nil && !n.draining.Load() }
+func (n *Node) ready() bool {
+	return n.gateway.Config() != nil && !n.draining.Load() && !n.gateway.Isolated(time.Now())
+}
--- a/pkg/replica/budget.go
+++ b/pkg/replica/budget.go
@@ -34,6 +34,9 @@
 	first   [budgetBuckets + 1]int
 	second  [budgetBuckets + 1]int
 	current int64
+	// started is the first count. Buckets are counted from it by the steady
+	// clock, which no change of the time of day moves.
+	started time.Time
 }
 
 // NewBudget returns a budget with nothing counted.
@@ -43,7 +46,10 @@
 
 // advance clears the buckets that fell out of the window.
 func (b *Budget) advance(now time.Time) int {
-	at := now.UnixNano() / int64(b.width)
+	if b.started.IsZero() {
+		b.started = now
+	}
+	at := int64(now.Sub(b.started) / b.width)
 	n := int64(len(b.first))
 	for i := max(b.current+1, at-n+1); i <= at; i++ {
 		b.first[i%n] = 0
--- a/pkg/replica/placement.go
+++ b/pkg/replica/placement.go
@@ -38,17 +38,6 @@
 	typicalClip = 2
 )
 
-// How a zone that cannot be reached is noticed.
-const (
-	// zoneSilentLeafs is how many leafs of a zone must be silent at once:
-	// pauses hit one leaf at a time.
-	zoneSilentLeafs = 3
-	// zoneSilence is how long the whole zone must have answered nothing.
-	zoneSilence = 150 * time.Millisecond
-	// zoneProbeEvery is how often one request tries a suspected zone.
-	zoneProbeEvery = 300 * time.Millisecond
-)
-
 // class is one kind of work, whose replies take about equally long.
 type class struct {
 	typical time.Duration
@@ -70,13 +59,6 @@
 	c.typical += time.Duration(weight * float64(clipped-c.typical))
 }
 
-// zoneState is what is known of a zone as a whole.
-type zoneState struct {
-	lastReply time.Time
-	suspected bool
-	probedAt  time.Time
-}
-
 // Verdict says whether a leaf was found.
 type Verdict int
 
@@ -143,8 +125,12 @@
 }
 
 // reachable reports whether a request may go to r: a leaf that failed is
-// probed by one request at a time once its wait is over.
+// probed by one request at a time once its wait is over, and a leaf of a
+// suspected zone waits for the zone's probe.
 func (t *Table) reachable(r *row, now time.Time) bool {
+	if z := t.zones[r.Zone]; z != nil && z.suspected {
+		return false
+	}
 	if r.failures < downAfter {
 		return true
 	}
@@ -161,10 +147,6 @@
 		p.Suspect = true
 		p.Expected += suspectCost
 	}
-	if z := t.zones[r.Zone]; z != nil && z.suspected && now.Sub(z.probedAt) < zoneProbeEvery {
-		p.Suspect = true
-		p.Expected += 2 * suspectCost
-	}
 	cost := float64(p.Expected) / (1 - min(r.refusalsNow(now), refusalsCap))
 	if r.Zone != t.opts.Zone {
 		cost *= crossZoneFactor
@@ -241,9 +223,6 @@
 	if r := t.leafs[p.Leaf.ID]; r != nil {
 		r.begin(now)
 	}
-	if z := t.zones[p.Leaf.Zone]; z != nil && z.suspected && now.Sub(z.probedAt) >= zoneProbeEvery {
-		z.probedAt = now
-	}
 	return &Call{Leaf: p.Leaf, class: className, start: now}
 }
 
@@ -308,46 +287,6 @@
 	return max(c.typical, 1)
 }
 
-// zoneReplied records that a leaf of the zone answered.
-func (t *Table) zoneReplied(name string, now time.Time) {
-	z := t.zones[name]
-	if z == nil {
-		z = &zoneState{}
-		t.zones[name] = z
-	}
-	z.lastReply = now
-	z.suspected = false
-}
-
-// SuspectZones is the zone system: run each tick, it marks the zones whose
-// leafs all fell silent together and returns those newly marked.
-//
-// When a zone is cut off, its connections hang without an error. Each of its
-// leafs would be found silent one by one, each at the price of a request that
-// waits and of a second one; one notices the budgets for second requests used
-// up at once. Several leafs silent with no reply from their zone mean the zone.
-func (t *Table) SuspectZones(now time.Time) []string {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	silent := make(map[string]int)
-	for _, r := range t.leafs {
-		if r.silentFor(now) > zoneSilence {
-			silent[r.Zone]++
-		}
-	}
-	var marked []string
-	for name, n := range silent {
-		z := t.zones[name]
-		if z == nil || z.suspected || n < zoneSilentLeafs || now.Sub(z.lastReply) < zoneSilence {
-			continue
-		}
-		z.suspected = true
-		z.probedAt = now
-		marked = append(marked, name)
-	}
-	return marked
-}
-
 // Suspect reports whether the leaf of a call is silent for longer than usual.
 func (t *Table) Suspect(c *Call, now time.Time) bool {
 	t.mu.Lock()
--- /dev/null
+++ b/pkg/replica/zones.go
@@ -0,0 +1,138 @@
+package replica
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// How a zone that cannot be reached is noticed.
+const (
+	// zoneSilentLeafs is how many leafs of a zone must be silent at once:
+	// pauses hit one leaf at a time.
+	zoneSilentLeafs = 3
+	// zoneSilence is how long the whole zone must have answered nothing.
+	zoneSilence = 150 * time.Millisecond
+	// zoneProbeEvery is how often one health check tries a suspected zone.
+	zoneProbeEvery = 300 * time.Millisecond
+)
+
+// zoneState is what is known of a zone as a whole.
+type zoneState struct {
+	lastReply time.Time
+	suspected bool
+	probedAt  time.Time
+}
+
+// zoneReplied records that a leaf of the zone answered.
+func (t *Table) zoneReplied(name string, now time.Time) {
+	z := t.zones[name]
+	if z == nil {
+		z = &zoneState{}
+		t.zones[name] = z
+	}
+	z.lastReply = now
+	z.suspected = false
+}
+
+// SuspectZones is the zone system: run each tick, it marks the zones whose
+// leafs all fell silent together and returns those newly marked.
+//
+// When a zone is cut off, its connections hang without an error. Each of its
+// leafs would be found silent one by one, each at the price of a request that
+// waits and of a second one; one notices the budgets for second requests used
+// up at once. Several leafs silent with no reply from their zone mean the zone.
+func (t *Table) SuspectZones(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	silent := make(map[string]int)
+	for _, r := range t.leafs {
+		if r.silentFor(now) > zoneSilence {
+			silent[r.Zone]++
+		}
+	}
+	var marked []string
+	for name, n := range silent {
+		z := t.zones[name]
+		if z == nil || z.suspected || n < zoneSilentLeafs || now.Sub(z.lastReply) < zoneSilence {
+			continue
+		}
+		z.suspected = true
+		z.probedAt = now
+		marked = append(marked, name)
+	}
+	return marked
+}
+
+// ZoneProbes returns one leaf of each suspected zone whose probe is due. It is
+// checked instead of sending it callers' requests: a cut zone answers nothing,
+// so each such request would be lost or cost a second one.
+func (t *Table) ZoneProbes(now time.Time) []Leaf {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []Leaf
+	for name, z := range t.zones {
+		if !z.suspected || now.Sub(z.probedAt) < zoneProbeEvery {
+			continue
+		}
+		if leaf, ok := t.anyLeaf(name); ok {
+			z.probedAt = now
+			out = append(out, leaf)
+		}
+	}
+	return out
+}
+
+// anyLeaf draws a leaf of a zone that is not leaving.
+func (t *Table) anyLeaf(zone string) (Leaf, bool) {
+	var found []Leaf
+	for _, r := range t.leafs {
+		if r.Zone == zone && !r.Draining {
+			found = append(found, r.Leaf)
+		}
+	}
+	if len(found) == 0 {
+		return Leaf{}, false
+	}
+	return found[rand.IntN(len(found))], true
+}
+
+// ZoneAnswered takes over that a probe of a zone was answered. It reports
+// whether the zone was suspected.
+func (t *Table) ZoneAnswered(zone string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	z := t.zones[zone]
+	was := z != nil && z.suspected
+	t.zoneReplied(zone, now)
+	return was
+}
+
+// Cut reports whether some zone is suspected.
+func (t *Table) Cut() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, z := range t.zones {
+		if z.suspected {
+			return true
+		}
+	}
+	return false
+}
+
+// Servable is how many of the services have a listed leaf outside the
+// suspected zones.
+func (t *Table) Servable(services []string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	n := 0
+	for _, name := range services {
+		for _, r := range t.service(name).leafs {
+			z := t.zones[r.Zone]
+			if !r.Draining && (z == nil || !z.suspected) {
+				n++
+				break
+			}
+		}
+	}
+	return n
+}
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -69,6 +69,8 @@
 	// MaxConns is how many connections each of its leafs accepts from all
 	// callers together; zero: not published.
 	MaxConns int
+	// HealthPath answers whether a leaf is well.
+	HealthPath string
 }
 
 // Limits bound what a caller may send.
@@ -110,6 +112,17 @@
 // RouteCount is how many routes the version has.
 func (c *Config) RouteCount() int { return c.count }
 
+// Routes calls f with each route until f returns false.
+func (c *Config) Routes(f func(*Route) bool) {
+	for _, list := range c.routes {
+		for _, r := range list {
+			if !f(r) {
+				return
+			}
+		}
+	}
+}
+
 // Match returns the route with the longest prefix that begins path among the
 // routes of host, or nil. Host may carry a port; path is the undecoded path
 // without the query.
