A part is of use to its leaf up to the target latency only

Cause: after a pause of 250 ms a leaf works through requests whose answers were given without them; with twice the load that a leaf takes alone the queue never empties. Change: useful_target 1.5 -> 1.0.

--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -139,7 +139,7 @@
 		Answer: NodeAnswer{
 			Partial:           true,
 			MarginMs:          8,
-			UsefulTarget:      1.5,
+			UsefulTarget:      1.0,
 			DefaultPatienceMs: 5000,
 			RetryAfterMs:      300,
 		},
