--- /dev/null
+++ b/pkg/leafconn/leafconn_test.go
@@ -0,0 +1,225 @@
+package leafconn
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// serve runs a raw leaf: f gets each connection with the requests on it.
+func serve(t *testing.T, f func(conn net.Conn, next func() *http.Request)) string {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = ln.Close() })
+	go func() {
+		for {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer func() { _ = conn.Close() }()
+				br := bufio.NewReader(conn)
+				f(conn, func() *http.Request {
+					q, err := http.ReadRequest(br)
+					if err != nil {
+						return nil
+					}
+					_, _ = io.Copy(io.Discard, q.Body)
+					return q
+				})
+			}()
+		}
+	}()
+	return ln.Addr().String()
+}
+
+func pool() *Pool {
+	return New(Options{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxBody: 1000})
+}
+
+func request() *http.Request {
+	return &http.Request{Method: "GET", Host: "h", URL: &url.URL{Opaque: "/x"}, Header: http.Header{}, ProtoMajor: 1, ProtoMinor: 1}
+}
+
+func anyReply(*Reply) error { return nil }
+
+// send makes one call with the given time.
+func send(p *Pool, addr string, within time.Duration) (*Reply, Fate, error) {
+	return p.RoundTrip(context.Background(), "leaf", addr, request(), time.Now().Add(within), anyReply)
+}
+
+// answerAll answers every request on a connection with text.
+func answerAll(text string) func(net.Conn, func() *http.Request) {
+	return func(conn net.Conn, next func() *http.Request) {
+		for next() != nil {
+			_, _ = io.WriteString(conn, text)
+		}
+	}
+}
+
+const okReply = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+
+// Which connections are kept, and what is certain about a request, by what the
+// leaf does.
+func TestFates(t *testing.T) {
+	type leafFunc = func(net.Conn, func() *http.Request)
+	for name, tc := range map[string]struct {
+		leaf  leafFunc
+		want  Fate
+		dials int64
+	}{
+		"kept":               {answerAll(okReply), Replied, 1},
+		"interim reply":      {answerAll("HTTP/1.1 100 Continue\r\n\r\n" + okReply), Replied, 1},
+		"leaf asks to close": {answerAll("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"), Replied, 2},
+		"bytes behind":       {answerAll(okReply + okReply), Replied, 2},
+		"no idle time":       {answerAll("HTTP/1.1 200 OK\r\nKeep-Alive: timeout=1, max=5\r\nContent-Length: 0\r\n\r\n"), Replied, 1},
+		"garbage":            {answerAll("no http\r\n\r\n"), Lost, 2},
+		"too large":          {answerAll("HTTP/1.1 200 OK\r\nContent-Length: 1001\r\n\r\n" + fmt.Sprintf("%01001d", 0)), Lost, 2},
+		"closes unanswered":  {func(_ net.Conn, next func() *http.Request) { next() }, Lost, 2},
+		"silent":             {func(_ net.Conn, next func() *http.Request) { next(); next() }, Unanswered, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := pool()
+			addr := serve(t, tc.leaf)
+			for range 2 {
+				_, fate, err := send(p, addr, 300*time.Millisecond)
+				require.Equal(t, tc.want, fate, "%v", err)
+			}
+			require.Equal(t, tc.dials, p.Stats.Dials.Load())
+		})
+	}
+}
+
+func TestNoConnectionIsNotSent(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := ln.Addr().String()
+	require.NoError(t, ln.Close())
+	_, fate, err := send(pool(), addr, time.Second)
+	require.Error(t, err)
+	require.Equal(t, NotSent, fate)
+}
+
+func TestInvalidReplyClosesTheConnection(t *testing.T) {
+	p := pool()
+	addr := serve(t, answerAll(okReply))
+	wrong := errors.New("other request")
+	_, fate, err := p.RoundTrip(context.Background(), "leaf", addr, request(), time.Now().Add(time.Second), func(*Reply) error { return wrong })
+	require.ErrorIs(t, err, wrong)
+	require.Equal(t, Lost, fate)
+	require.Zero(t, p.Stats.OpenConns.Load())
+}
+
+// Symptom: a request fails, or is answered with another's reply, because its
+// kept connection was closed or written to while it was idle.
+func TestIdleConnectionIsCheckedBeforeUse(t *testing.T) {
+	for name, idle := range map[string]func(net.Conn){
+		"closed by the leaf": func(c net.Conn) { _ = c.Close() },
+		"late second reply":  func(c net.Conn) { _, _ = io.WriteString(c, okReply) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := pool()
+			done := make(chan struct{}, 2)
+			addr := serve(t, func(conn net.Conn, next func() *http.Request) {
+				for next() != nil {
+					_, _ = io.WriteString(conn, okReply)
+					time.Sleep(20 * time.Millisecond)
+					idle(conn)
+					done <- struct{}{}
+				}
+			})
+			for range 2 {
+				_, fate, err := send(p, addr, time.Second)
+				require.NoError(t, err)
+				require.Equal(t, Replied, fate)
+				<-done
+				time.Sleep(10 * time.Millisecond)
+			}
+			require.EqualValues(t, 2, p.Stats.Dials.Load())
+			require.EqualValues(t, 1, p.Stats.StrayDrops.Load())
+		})
+	}
+}
+
+// Cancelling closes the connection, which is what tells a leaf to stop.
+func TestCancelReachesTheLeaf(t *testing.T) {
+	p := pool()
+	closed := make(chan struct{})
+	got := make(chan struct{})
+	addr := serve(t, func(_ net.Conn, next func() *http.Request) {
+		next()
+		close(got)
+		next()
+		close(closed)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		<-got
+		cancel()
+	}()
+	_, fate, err := p.RoundTrip(ctx, "leaf", addr, request(), time.Now().Add(10*time.Second), anyReply)
+	require.Error(t, err)
+	require.Equal(t, Cancelled, fate)
+	<-closed
+}
+
+// A leaf's other connections are dropped with one that went silent.
+func TestSilenceDropsIdleConnections(t *testing.T) {
+	p := pool()
+	silent := make(chan struct{})
+	addr := serve(t, func(conn net.Conn, next func() *http.Request) {
+		for next() != nil {
+			select {
+			case <-silent:
+			default:
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(conn, okReply)
+			}
+		}
+	})
+	both := make(chan error, 2)
+	for range 2 {
+		go func() { _, _, err := send(p, addr, time.Second); both <- err }()
+	}
+	require.NoError(t, <-both)
+	require.NoError(t, <-both)
+	require.EqualValues(t, 2, p.Stats.OpenConns.Load())
+	close(silent)
+	_, fate, _ := send(p, addr, 50*time.Millisecond)
+	require.Equal(t, Unanswered, fate)
+	require.Zero(t, p.Stats.OpenConns.Load())
+}
+
+func TestSweepAndDrop(t *testing.T) {
+	p := pool()
+	addr := serve(t, answerAll(okReply))
+	_, _, err := send(p, addr, time.Second)
+	require.NoError(t, err)
+	p.Sweep(time.Now())
+	require.EqualValues(t, 1, p.Stats.OpenConns.Load())
+	p.Sweep(time.Now().Add(time.Hour))
+	require.Zero(t, p.Stats.OpenConns.Load())
+	_, _, err = send(p, addr, time.Second)
+	require.NoError(t, err)
+	p.DropLeaf("leaf")
+	require.Zero(t, p.Stats.OpenConns.Load())
+}
+
+func TestAnnouncedIdle(t *testing.T) {
+	for header, want := range map[string]time.Duration{
+		"": 0, "timeout=5": 5 * time.Second, "max=3, timeout=12": 12 * time.Second,
+		"Timeout = 2": 2 * time.Second, "timeout=x": 0, "timeout=-1": 0, "timeout": 0,
+	} {
+		require.Equal(t, want, announcedIdle(header), header)
+	}
+}
