Stand-ins under one roof; the entry's side of the configuration service on its own

pkg/backend and the serving half of pkg/platform are pkg/standin/backend and pkg/standin/configservice; no product package imports them (the entry reached into both for paths and the watch). The watch is pkg/configwatch, the paths of the product's own protocol are in pkg/wire.

Traced: after the kill a request either breaks on a kept connection (may have run, IY3005) or is refused a new one (not run, IY3002), and how many connections are kept depends on whether the two shards' earlier requests overlapped. Both are true.

--- a/pkg/cli/bench.go
+++ b/pkg/cli/bench.go
@@ -8,10 +8,10 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/indigoyoke/indigoyoke/pkg/backend"
 	"github.com/indigoyoke/indigoyoke/pkg/caller"
 	"github.com/indigoyoke/indigoyoke/pkg/demo"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/backend"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
--- a/pkg/cli/ops.go
+++ b/pkg/cli/ops.go
@@ -12,7 +12,6 @@
 	"gopkg.in/yaml.v3"
 
 	"github.com/indigoyoke/indigoyoke/pkg/caller"
-	"github.com/indigoyoke/indigoyoke/pkg/platform"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
@@ -45,7 +44,7 @@
 				return err
 			}
 			var res wire.PatchResult
-			_, err = c.Do(context.Background(), "POST", "http://"+addr+platform.PathPatch, nil, p, &res, time.Now().Add(opTimeout))
+			_, err = c.Do(context.Background(), "POST", "http://"+addr+wire.PathPatch, nil, p, &res, time.Now().Add(opTimeout))
 			if err != nil {
 				return err
 			}
--- a/pkg/cli/standins.go
+++ b/pkg/cli/standins.go
@@ -7,10 +7,10 @@
 
 	"github.com/spf13/cobra"
 
-	"github.com/indigoyoke/indigoyoke/pkg/backend"
-	"github.com/indigoyoke/indigoyoke/pkg/platform"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/backend"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/configservice"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
@@ -54,7 +54,7 @@
 		return nil
 	}
 	return func(inst wire.Instance) {
-		_, _ = c.Do(context.Background(), "POST", "http://"+addr+platform.PathReport, nil, inst, nil, time.Now().Add(time.Second))
+		_, _ = c.Do(context.Background(), "POST", "http://"+addr+wire.PathReport, nil, inst, nil, time.Now().Add(time.Second))
 	}
 }
 
@@ -70,7 +70,7 @@
 				return err
 			}
 			log := service.Logger("platform", "platform", "")
-			p, err := platform.New(s)
+			p, err := configservice.New(s)
 			if err != nil {
 				return err
 			}
--- a/pkg/platform/watch.go
+++ b/pkg/configwatch/watch.go
@@ -1,4 +1,7 @@
-package platform
+// Package configwatch is an entry instance's side of the configuration service
+// and the instance list in an installation of the project's own: long-poll
+// watches, versions that only go forward.
+package configwatch
 
 import (
 	"context"
@@ -132,7 +135,7 @@
 // watch long-polls for a version newer than after, at most wait; a nil
 // configuration with no error means the watch ended with nothing newer.
 func (w *Watcher) watch(ctx context.Context, after int64, wait time.Duration) (*topology.Config, error) {
-	url := fmt.Sprintf("http://%s%s?after=%d&timeout_ms=%d&zone=%s", w.addr, PathWatch, after, wait.Milliseconds(), w.zone)
+	url := fmt.Sprintf("http://%s%s?after=%d&timeout_ms=%d&zone=%s", w.addr, wire.PathWatch, after, wait.Milliseconds(), w.zone)
 	end := time.Now().Add(wait + time.Second)
 	if d, ok := ctx.Deadline(); ok && d.Before(end) {
 		end = d
@@ -174,7 +177,7 @@
 // read fetches the whole configuration.
 func (w *Watcher) read(ctx context.Context) (*topology.Config, error) {
 	var reply wire.ConfigReply
-	url := fmt.Sprintf("http://%s%s?zone=%s", w.addr, PathConfig, w.zone)
+	url := fmt.Sprintf("http://%s%s?zone=%s", w.addr, wire.PathConfig, w.zone)
 	status, err := w.client.Do(ctx, "GET", url, nil, nil, &reply, time.Now().Add(time.Second))
 	if err != nil {
 		return nil, err
@@ -194,7 +197,7 @@
 	backoff := backoffInitial
 	for ctx.Err() == nil {
 		var d wire.InstanceDelta
-		url := fmt.Sprintf("http://%s%s?after=%d&zone=%s", addr, PathInstanceWatch, version, zone)
+		url := fmt.Sprintf("http://%s%s?after=%d&zone=%s", addr, wire.PathInstanceWatch, version, zone)
 		status, err := c.Do(ctx, "GET", url, nil, nil, &d, time.Now().Add(watchTimeout+time.Second))
 		if err != nil || status != 200 {
 			service.Sleep(ctx, backoff)
--- a/pkg/platform/watch_test.go
+++ b/pkg/configwatch/watch_test.go
@@ -1,4 +1,4 @@
-package platform
+package configwatch
 
 import (
 	"context"
@@ -12,11 +12,12 @@
 
 	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/configservice"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
-func standIn(t *testing.T, watchMs int) *Server {
+func standIn(t *testing.T, watchMs int) *configservice.Server {
 	cfg := topology.Config{Version: 1, Backends: []topology.BackendServer{{Name: "u1", Zone: "z", Addr: "127.0.0.1:1"}}}
 	ix := topology.Index{Name: "i", Snapshot: 1}
 	for n := 0; n < 200; n++ {
@@ -25,7 +26,7 @@
 	cfg.Deployments = []topology.Deployment{{Name: "d", Indexes: []topology.Index{ix}}}
 	s := &settings.Platform{Listen: "127.0.0.1:0", WatchTimeoutMs: watchMs, Configuration: cfg}
 	require.NoError(t, s.Check())
-	p, err := New(s)
+	p, err := configservice.New(s)
 	require.NoError(t, err)
 	p.Start()
 	t.Cleanup(func() { _ = p.Stop(context.Background()) })
@@ -46,7 +47,7 @@
 	c, err := service.NewClient(1, time.Second)
 	require.NoError(t, err)
 	var reply wire.ConfigReply
-	url := "http://" + p.Addr() + PathWatch + "?after=1"
+	url := "http://" + p.Addr() + wire.PathWatch + "?after=1"
 	_, err = c.Do(context.Background(), "GET", url, nil, nil, &reply, time.Now().Add(time.Second))
 	require.NoError(t, err)
 	require.True(t, reply.Config == nil, "an idle watch sent the whole configuration")
@@ -88,7 +89,7 @@
 	c, err := service.NewClient(1, time.Second)
 	require.NoError(t, err)
 	var raw json.RawMessage
-	_, err = c.Do(context.Background(), "GET", "http://"+p.Addr()+PathWatch+"?after=1", nil, nil, &raw, time.Now().Add(time.Second))
+	_, err = c.Do(context.Background(), "GET", "http://"+p.Addr()+wire.PathWatch+"?after=1", nil, nil, &raw, time.Now().Add(time.Second))
 	require.NoError(t, err)
 	t.Logf("a one-op change: %d bytes", len(raw))
 	require.Less(t, len(raw), 1024, "a one-op change cost %d bytes", len(raw))
--- a/pkg/demo/cluster.go
+++ b/pkg/demo/cluster.go
@@ -8,11 +8,11 @@
 	"sync"
 	"time"
 
-	"github.com/indigoyoke/indigoyoke/pkg/backend"
 	"github.com/indigoyoke/indigoyoke/pkg/entry"
-	"github.com/indigoyoke/indigoyoke/pkg/platform"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/backend"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/configservice"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
@@ -20,7 +20,7 @@
 // listeners: real servers and real HTTP, without child processes.
 type Cluster struct {
 	Layout   *Layout
-	Platform *platform.Server
+	Platform *configservice.Server
 	Backends map[string]*backend.Server
 	Entries  map[string]*entry.Entry
 	order    []string
@@ -65,7 +65,7 @@
 		c.Backends[s.Name] = b
 		l.Platform.Configuration.Backends[i].Addr = b.Addr()
 	}
-	if c.Platform, err = platform.New(&l.Platform); err != nil {
+	if c.Platform, err = configservice.New(&l.Platform); err != nil {
 		return nil, err
 	}
 	c.Platform.Start()
--- a/pkg/demo/config_test.go
+++ b/pkg/demo/config_test.go
@@ -8,8 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
-	"github.com/indigoyoke/indigoyoke/pkg/platform"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/configservice"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
@@ -29,7 +29,7 @@
 	q := wire.SearchRequest{Deployment: dep, Index: "viewer-api", Text: "bracket", TimeoutMs: 300}
 	s.patch(topology.Patch{BaseVersion: 1, Ops: []topology.Op{{Kind: topology.OpSetSnapshot, Deployment: dep, Index: "viewer-api", Snapshot: 2}}})
 	s.note("configuration service turns stale and serves v1")
-	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeStale, StaleVersion: 1})
+	s.c.Platform.SetMode(configservice.Control{Mode: configservice.ModeStale, StaleVersion: 1})
 	time.Sleep(500 * time.Millisecond)
 	s.note("after several stale watch rounds:%s", s.versions())
 	s.search("lj-a-entry-1", "cad-viewer", "cad-viewer-key", q)
@@ -55,7 +55,7 @@
 			c, _ := service.NewClient(2, time.Second)
 			p := topology.Patch{BaseVersion: 1, Ops: []topology.Op{{Kind: topology.OpSetSnapshot, Deployment: dep, Index: "viewer-api", Snapshot: snap}}}
 			var r wire.PatchResult
-			_, _ = c.Do(context.Background(), "POST", "http://"+s.c.Platform.Addr()+platform.PathPatch, nil, p, &r, time.Now().Add(time.Second))
+			_, _ = c.Do(context.Background(), "POST", "http://"+s.c.Platform.Addr()+wire.PathPatch, nil, p, &r, time.Now().Add(time.Second))
 			results <- r
 		}()
 	}
@@ -98,11 +98,11 @@
 	dep := Deployment(Lipovec)
 	q := wire.SearchRequest{Deployment: dep, Index: "viewer-api", Text: "flange", TimeoutMs: 300}
 	s.patch(topology.Patch{BaseVersion: 1, Ops: []topology.Op{{Kind: topology.OpSetSnapshot, Deployment: dep, Index: "viewer-api", Snapshot: 2}}})
-	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeDown})
+	s.c.Platform.SetMode(configservice.Control{Mode: configservice.ModeDown})
 	s.note("configuration service down")
 	time.Sleep(time.Second)
 	s.search("lj-b-entry-1", "cad-viewer", "cad-viewer-key", q)
-	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal})
+	s.c.Platform.SetMode(configservice.Control{Mode: configservice.ModeNormal})
 	s.note("configuration service back")
 	s.patch(topology.Patch{BaseVersion: 2, Ops: []topology.Op{{Kind: topology.OpSetSnapshot, Deployment: dep, Index: "viewer-api", Snapshot: 1}}})
 	s.search("lj-b-entry-1", "cad-viewer", "cad-viewer-key", q)
--- a/pkg/demo/faults_test.go
+++ b/pkg/demo/faults_test.go
@@ -10,9 +10,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/indigoyoke/indigoyoke/pkg/backend"
 	"github.com/indigoyoke/indigoyoke/pkg/caller"
-	"github.com/indigoyoke/indigoyoke/pkg/platform"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/backend"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/configservice"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
@@ -86,6 +86,10 @@
 	require.Len(t, a.Covered, 4, "a read lost a shard that another replica holds")
 	s.c.Backends["lj-b-unit-1"].Kill()
 	s.note("lj-b-unit-1 killed too: s01 and s03 have no replica left")
+	// Whether a shard's next request breaks on a kept connection (IY3005) or is
+	// refused a new one (IY3002) depends on how many connections the earlier
+	// searches left; this search uses them up, so that both are refused.
+	s.quietSearch("lj-a-entry-1", q)
 	a = s.search("lj-a-entry-1", "cad-viewer", "cad-viewer-key", q)
 	require.Equal(t, []string{"s02", "s04"}, a.Covered)
 	s.golden("killed-backend")
@@ -261,7 +265,7 @@
 	for _, name := range []string{"lj-a-unit-1", "lj-a-unit-2"} {
 		s.control(name, backend.Control{Action: backend.ActCut, Zones: cut})
 	}
-	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal, CutZones: cut})
+	s.c.Platform.SetMode(configservice.Control{Mode: configservice.ModeNormal, CutZones: cut})
 	s.c.ConnectPeers(cut...)
 	s.note("lj-b cut off from lj-a and from the platform")
 	a := s.search("lj-b-entry-1", "cad-viewer", "cad-viewer-key", q)
@@ -276,7 +280,7 @@
 	for _, name := range []string{"lj-a-unit-1", "lj-a-unit-2"} {
 		s.control(name, backend.Control{Action: backend.ActHeal})
 	}
-	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal})
+	s.c.Platform.SetMode(configservice.Control{Mode: configservice.ModeNormal})
 	s.c.ConnectPeers()
 	require.NoError(t, s.c.WaitVersion(next.Version, 5*time.Second))
 	s.note("cut healed: every entry instance at v%d", next.Version)
--- a/pkg/demo/holds_test.go
+++ b/pkg/demo/holds_test.go
@@ -6,7 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/indigoyoke/indigoyoke/pkg/backend"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/backend"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
--- a/pkg/demo/move_test.go
+++ b/pkg/demo/move_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/indigoyoke/indigoyoke/pkg/backend"
-	"github.com/indigoyoke/indigoyoke/pkg/platform"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/backend"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/configservice"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
@@ -35,7 +35,7 @@
 		})
 	}
 	hold(after, "van12-dusk-1")
-	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal, CutZones: []string{"cleveland-hall"}})
+	s.c.Platform.SetMode(configservice.Control{Mode: configservice.ModeNormal, CutZones: []string{"cleveland-hall"}})
 	s.c.ConnectPeers("cleveland-hall")
 	time.Sleep(300 * time.Millisecond)
 	s.note("cleveland-hall cut off from the platform and from detroit-hall's entry instances; s03 moves to detroit-hall-unit-2")
@@ -58,7 +58,7 @@
 	hold(before, "van12-dusk-1")
 	s.searchCovers(before, "outreach-van", "outreach-van-key", q, 4)
 	s.searchCovers(after, "outreach-van", "outreach-van-key", q, 4)
-	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal})
+	s.c.Platform.SetMode(configservice.Control{Mode: configservice.ModeNormal})
 	s.c.ConnectPeers()
 	require.NoError(t, s.c.WaitVersion(2, 5*time.Second))
 	s.note("cut healed: every entry instance at v2")
--- a/pkg/demo/policy_test.go
+++ b/pkg/demo/policy_test.go
@@ -10,8 +10,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/indigoyoke/indigoyoke/pkg/backend"
 	"github.com/indigoyoke/indigoyoke/pkg/entry"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/backend"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
--- a/pkg/demo/relay_test.go
+++ b/pkg/demo/relay_test.go
@@ -6,8 +6,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/indigoyoke/indigoyoke/pkg/platform"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/configservice"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
@@ -25,7 +25,7 @@
 	s := newSession(t, Lipovec)
 	dep := Deployment(Lipovec)
 	s.patch(topology.Patch{BaseVersion: 1, Ops: []topology.Op{{Kind: topology.OpSetSnapshot, Deployment: dep, Index: "viewer-api", Snapshot: 2}}})
-	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeDown})
+	s.c.Platform.SetMode(configservice.Control{Mode: configservice.ModeDown})
 	s.note("configuration service down; lj-b-entry-3 starts")
 	s.addEntry(settings.Entry{Name: "lj-b-entry-3", Zone: "lj-b"})
 	served := func() bool { return s.c.Entries["lj-b-entry-3"].Watcher().Version() == 2 }
@@ -50,11 +50,11 @@
 		}
 	})
 	dep := Deployment(Lipovec)
-	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal, CutZones: []string{"lj-b"}})
+	s.c.Platform.SetMode(configservice.Control{Mode: configservice.ModeNormal, CutZones: []string{"lj-b"}})
 	time.Sleep(300 * time.Millisecond)
 	s.note("lj-b cut off from the configuration service, not from lj-a")
 	s.patch(topology.Patch{BaseVersion: 1, Ops: []topology.Op{{Kind: topology.OpSetSnapshot, Deployment: dep, Index: "viewer-api", Snapshot: 2}}})
-	s.c.Platform.SetMode(platform.Control{Mode: platform.ModeStale, StaleVersion: 1})
+	s.c.Platform.SetMode(configservice.Control{Mode: configservice.ModeStale, StaleVersion: 1})
 	time.Sleep(time.Second)
 	s.note("the service stale at v1 for a second:%s", s.versions())
 	require.Equal(t, int64(2), s.c.minVersion())
--- a/pkg/demo/session_test.go
+++ b/pkg/demo/session_test.go
@@ -13,8 +13,8 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/indigoyoke/indigoyoke/pkg/backend"
 	"github.com/indigoyoke/indigoyoke/pkg/caller"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/backend"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
--- a/pkg/demo/together_test.go
+++ b/pkg/demo/together_test.go
@@ -8,9 +8,9 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/indigoyoke/indigoyoke/pkg/backend"
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
-	"github.com/indigoyoke/indigoyoke/pkg/platform"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/backend"
+	"github.com/indigoyoke/indigoyoke/pkg/standin/configservice"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
@@ -142,11 +142,11 @@
 	})
 	step("lj-a-unit-2 frozen", func() { act("lj-a-unit-2", backend.Control{Action: backend.ActFreeze}) })
 	step("the configuration service stale at v1", func() {
-		s.c.Platform.SetMode(platform.Control{Mode: platform.ModeStale, StaleVersion: 1})
+		s.c.Platform.SetMode(configservice.Control{Mode: configservice.ModeStale, StaleVersion: 1})
 	})
 	step("lj-a-unit-2 woken; lj-b cut off from lj-a and from the service", func() {
 		act("lj-a-unit-2", backend.Control{Action: backend.ActThaw})
-		s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal, CutZones: []string{"lj-b"}})
+		s.c.Platform.SetMode(configservice.Control{Mode: configservice.ModeNormal, CutZones: []string{"lj-b"}})
 		s.c.ConnectPeers("lj-b")
 		act("lj-a-unit-1", backend.Control{Action: backend.ActCut, Zones: []string{"lj-b"}})
 		act("lj-a-unit-2", backend.Control{Action: backend.ActCut, Zones: []string{"lj-b"}})
@@ -157,18 +157,18 @@
 	})
 	step("lj-b-unit-1 killed", func() { s.c.Backends["lj-b-unit-1"].Kill() })
 	step("the cut heals; lj-a-unit-1 has stragglers", func() {
-		s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal})
+		s.c.Platform.SetMode(configservice.Control{Mode: configservice.ModeNormal})
 		s.c.ConnectPeers()
 		act("lj-a-unit-2", backend.Control{Action: backend.ActHeal})
 		act("lj-a-unit-1", backend.Control{Action: backend.ActHeal})
 		act("lj-a-unit-1", backend.Control{Action: backend.ActSlow, DelayMs: 80, Percent: 20})
 	})
 	step("the service down; lj-b-unit-2 drains", func() {
-		s.c.Platform.SetMode(platform.Control{Mode: platform.ModeDown})
+		s.c.Platform.SetMode(configservice.Control{Mode: configservice.ModeDown})
 		act("lj-b-unit-2", backend.Control{Action: backend.ActDrain})
 	})
 	step("the service back; snapshot 1 again as v4", func() {
-		s.c.Platform.SetMode(platform.Control{Mode: platform.ModeNormal})
+		s.c.Platform.SetMode(configservice.Control{Mode: configservice.ModeNormal})
 		patch(3, topology.Op{Kind: topology.OpSetSnapshot, Snapshot: 1})
 	})
 	require.NoError(t, s.c.WaitVersion(4, 10*time.Second))
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -17,7 +17,7 @@
 	"github.com/panjf2000/ants/v2"
 	"github.com/sirupsen/logrus"
 
-	"github.com/indigoyoke/indigoyoke/pkg/platform"
+	"github.com/indigoyoke/indigoyoke/pkg/configwatch"
 	"github.com/indigoyoke/indigoyoke/pkg/relay"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
@@ -46,7 +46,7 @@
 	log          *logrus.Entry
 	metrics      *metrics.Set
 	srv          *service.Server
-	watcher      *platform.Watcher
+	watcher      *configwatch.Watcher
 	relay        *relay.Relay
 	backends     *backendTable
 	budget       *hedgeBudget
@@ -77,7 +77,7 @@
 	if e.platformHTTP, err = service.NewClient(2, time.Second); err != nil {
 		return nil, err
 	}
-	if e.watcher, err = platform.NewWatcher(s.Platform, s.Zone, e.metrics, log); err != nil {
+	if e.watcher, err = configwatch.NewWatcher(s.Platform, s.Zone, e.metrics, log); err != nil {
 		return nil, err
 	}
 	e.watcher.OnApply(e.followConfig)
@@ -106,7 +106,7 @@
 	// The watches are not waited for at stop: they write nothing, and
 	// their long polls end by themselves within the watch timeout.
 	go e.watcher.Run(ctx)
-	go platform.WatchInstances(ctx, e.platformHTTP, e.set.Platform, e.set.Zone, e.followInstance)
+	go configwatch.WatchInstances(ctx, e.platformHTTP, e.set.Platform, e.set.Zone, e.followInstance)
 	e.wg.Add(1)
 	go func() { defer e.wg.Done(); e.runTicks(ctx) }()
 	if e.relay != nil {
@@ -142,7 +142,7 @@
 func (e *Entry) Zone() string { return e.set.Zone }
 
 // Watcher exposes the configuration watch, for tests and the state dump.
-func (e *Entry) Watcher() *platform.Watcher { return e.watcher }
+func (e *Entry) Watcher() *configwatch.Watcher { return e.watcher }
 
 // Stop is the graceful stop. The health endpoint says leaving at once so
 // the balancer stops sending; requests keep being served for the drain
--- a/pkg/entry/leafcall.go
+++ b/pkg/entry/leafcall.go
@@ -5,7 +5,6 @@
 	"errors"
 	"time"
 
-	"github.com/indigoyoke/indigoyoke/pkg/backend"
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
@@ -38,7 +37,7 @@
 	start := time.Now()
 	var resp wire.LeafResponse
 	deadline, _ := ctx.Deadline()
-	_, err := e.client.Do(ctx, "POST", "http://"+c.addr+backend.PathLeaf, nil, leaf, &resp, deadline)
+	_, err := e.client.Do(ctx, "POST", "http://"+c.addr+wire.PathLeaf, nil, leaf, &resp, deadline)
 	took := time.Since(start)
 	if err != nil {
 		if ctx.Err() != nil || !time.Now().Before(deadline) {
@@ -126,7 +125,7 @@
 		}
 		defer func() { <-c.permits.cancels }()
 		e.stats.cancels.Inc()
-		_, _ = e.client.Do(ctx, "POST", "http://"+c.addr+backend.PathCancel, nil, req, nil, time.Now().Add(cancelTimeout))
+		_, _ = e.client.Do(ctx, "POST", "http://"+c.addr+wire.PathCancel, nil, req, nil, time.Now().Add(cancelTimeout))
 	}
 	if cap(c.permits.cancels) > 0 {
 		_ = e.pool.Submit(task)
--- a/pkg/backend/server.go
+++ b/pkg/standin/backend/server.go
@@ -23,12 +23,8 @@
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
-// Paths of the backend server stand-in.
-const (
-	PathLeaf    = "/v1/leaf"
-	PathCancel  = "/v1/leaf/cancel"
-	PathControl = "/control"
-)
+// PathControl takes faults from tests and operators of the stand-in.
+const PathControl = "/control"
 
 // shedWait is how long a leaf request waits for a slot before the backend
 // server sheds it unrun.
@@ -122,8 +118,8 @@
 	b.srv = srv
 	b.metrics.NewGauge("backend_conns_open", func() float64 { return float64(b.ln.open.Load()) })
 	b.metrics.NewGauge("backend_conns_refused", func() float64 { return float64(b.ln.refused.Load()) })
-	srv.H.POST(PathLeaf, b.handleLeaf)
-	srv.H.POST(PathCancel, b.handleCancel)
+	srv.H.POST(wire.PathLeaf, b.handleLeaf)
+	srv.H.POST(wire.PathCancel, b.handleCancel)
 	srv.H.POST(PathControl, b.handleControl)
 	srv.H.GET(service.PathHealth, b.handleHealth)
 	return b, nil
--- a/pkg/platform/instances.go
+++ b/pkg/standin/configservice/instances.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 import (
 	"context"
@@ -62,10 +62,6 @@
 	return out
 }
 
-// PathInstanceWatch long-polls the instance list for rows changed since a
-// version.
-const PathInstanceWatch = "/v1/instances/watch"
-
 // instancePoll is how often a waiting instance watch looks for rows that
 // have become visible past the list's lag.
 const instancePoll = 20 * time.Millisecond
--- a/pkg/platform/reads.go
+++ b/pkg/standin/configservice/reads.go
@@ -1,4 +1,4 @@
-package platform
+package configservice
 
 import (
 	"context"
--- a/pkg/platform/server.go
+++ b/pkg/standin/configservice/server.go
@@ -1,10 +1,9 @@
-// Package platform owns the stand-in for the platform's services that
-// indigoyoke only reads: the versioned configuration service (read and
+// Package configservice owns the stand-in for the services that an installation
+// of the project's own only reads: the versioned configuration service (read and
 // watch, capped at a read rate, able to go down or stale) and the list of
 // live and leaving instances, which lags behind reality. Operators' patches
 // reach the configuration service here; entry instances never write to it.
-// Watcher, in watch.go, is the entry instance's side of the protocol.
-package platform
+package configservice
 
 import (
 	"context"
@@ -23,15 +22,8 @@
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
-// Paths of the platform stand-in.
-const (
-	PathConfig    = "/v1/config"
-	PathWatch     = "/v1/config/watch"
-	PathPatch     = "/v1/config/patch"
-	PathInstances = "/v1/instances"
-	PathReport    = "/v1/instances/report"
-	PathControl   = "/control"
-)
+// PathControl takes faults from tests and operators of the stand-in.
+const PathControl = "/control"
 
 // Mode is the configuration service's fault mode.
 type Mode string
@@ -109,12 +101,12 @@
 
 func (p *Server) routes() {
 	h := p.srv.H
-	h.GET(PathConfig, p.handleRead)
-	h.GET(PathWatch, p.handleWatch)
-	h.POST(PathPatch, p.handlePatch)
-	h.GET(PathInstances, p.handleInstances)
-	h.GET(PathInstanceWatch, p.handleInstanceWatch)
-	h.POST(PathReport, p.handleReport)
+	h.GET(wire.PathConfig, p.handleRead)
+	h.GET(wire.PathWatch, p.handleWatch)
+	h.POST(wire.PathPatch, p.handlePatch)
+	h.GET(wire.PathInstances, p.handleInstances)
+	h.GET(wire.PathInstanceWatch, p.handleInstanceWatch)
+	h.POST(wire.PathReport, p.handleReport)
 	h.POST(PathControl, p.handleControl)
 }
 
--- /dev/null
+++ b/pkg/wire/paths.go
@@ -0,0 +1,20 @@
+package wire
+
+// Paths of the configuration service and of the instance list, as the project's
+// stand-in serves them.
+const (
+	PathConfig    = "/v1/config"
+	PathWatch     = "/v1/config/watch"
+	PathPatch     = "/v1/config/patch"
+	PathInstances = "/v1/instances"
+	PathReport    = "/v1/instances/report"
+	// PathInstanceWatch long-polls the instance list for rows changed since a
+	// version.
+	PathInstanceWatch = "/v1/instances/watch"
+)
+
+// Paths of a backend server.
+const (
+	PathLeaf   = "/v1/leaf"
+	PathCancel = "/v1/leaf/cancel"
+)
