--- a/cmd/yokectl/main.go
+++ b/cmd/yokectl/main.go
@@ -25,6 +25,7 @@
 		cli.DemoCmd(),
 		cli.LoadCmd(),
 		cli.BenchCmd(),
+		cli.ExplainCmd(),
 	)
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
--- /dev/null
+++ b/pkg/explain/explain_test.go
@@ -0,0 +1,39 @@
+package explain
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+const logA = `  33.1 front-a {"time":"2026-05-04T15:39:27.000Z","event":"leaf_down","instance":"a","leaf":"i-1"}
+not a line
+{"time":"2026-05-04T15:39:28.000Z","event":"leaf_down","instance":"a","leaf":"i-9"}
+{"time":"2026-05-04T15:39:29.300Z","event":"partial_answer","instance":"a","request":"r1","covered":18}
+{"time":"2026-05-04T15:39:29.100Z","event":"second_request","instance":"a","request":"r1","leaf":"i-1","why":"slow"}
+{"time":"2026-05-04T15:39:29.200Z","event":"second_request","instance":"a","request":"r2","leaf":"i-1","why":"slow"}
+{"time":"2026-05-04T15:39:20.000Z","event":"store_lost","instance":"a"}
+`
+
+const logB = `{"time":"2026-05-04T15:39:29.000Z","event":"store_lost","instance":"b"}`
+
+func TestStoryInOrder(t *testing.T) {
+	var out bytes.Buffer
+	n, err := Request("r1", []io.Reader{strings.NewReader(logA), strings.NewReader(logB)}, &out)
+	require.NoError(t, err)
+	require.Equal(t, 2, n)
+	require.Equal(t, strings.Join([]string{
+		"  (before) 15:39:27.000 a leaf_down leaf=i-1",
+		"15:39:29.100 a second_request leaf=i-1 why=slow",
+		"15:39:29.300 a partial_answer covered=18",
+	}, "\n")+"\n", out.String())
+}
+
+func TestUnknownRequest(t *testing.T) {
+	n, err := Request("r9", []io.Reader{strings.NewReader(logA)}, io.Discard)
+	require.NoError(t, err)
+	require.Zero(t, n)
+}
