Admission by summed risk with probes; a typical time that an overload does not move

Change: a query whose summed risk exceeds what may be missing by 2 shards is refused; one query in 400 ms is admitted as a probe; the typical time is a median that moves by a tenth a second at most, and falls fast when far too high; a shard that cannot be asked again once the answer is late is given up. Slowness half life 2 s to 1 s, factor for another zone 1.25 to 1.6.

--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -59,12 +60,13 @@
 		return nil, &refusal
 	}
 	late := q.late(found, now)
-	if len(late) > spare {
+	overloaded := len(late) > spare || q.risk(found, now) > float64(spare)+q.opts.SpareRisk
+	if overloaded && !q.table.AdmitProbe(q.route.Name, now) {
 		refusal.Late = len(late)
 		refusal.RetryAfter = retryLate
 		return nil, &refusal
 	}
-	for _, p := range late {
+	for _, p := range late[:min(len(late), spare)] {
 		q.shards[p.shard].out = true
 	}
 	return q.sendFirst(found, now), nil
@@ -95,6 +97,29 @@
 	return out
 }
 
+// risk is how many of the shards with a leaf are expected to miss the answer.
+//
+// Reply times of a leaf that queues are spread about exponentially around their
+// mean, so that a mean far below the target still misses it now and then; over
+// twenty shards that adds up. With an availability zone cut off, two thirds of
+// the shards have one leaf, each at 105 % of what it can take: the mean stays
+// below the target while half of all queries come late.
+func (q *Query) risk(found []placed, now time.Time) float64 {
+	if !q.opts.PartialAnswers || q.route.TargetLatency <= 0 {
+		return 0
+	}
+	left := float64(q.softEnd.Sub(now))
+	sum := 0.0
+	for _, p := range found {
+		if q.shards[p.shard].out {
+			continue
+		}
+		inTime := 1 - math.Exp(-left/float64(max(p.placement.Expected, 1)))
+		sum += 1 - inTime*(1-p.placement.Refusals)
+	}
+	return sum
+}
+
 // sendFirst sends the first request of every shard that is not left out.
 func (q *Query) sendFirst(found []placed, now time.Time) []Send {
 	sends := make([]Send, 0, len(found))
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -111,3 +111,44 @@
 	require.Empty(t, q.Reply(0, 0, replica.Broken, at(11)), "an attempt ends once")
 	require.Equal(t, 1, q.Covered())
 }
+
+// Symptom: an instance refuses every query for good after a restart in the
+// middle of an overload. Sequence: its first replies are all late; every query is
+// then refused, so that no reply corrects the estimates. Cause: no probe.
+func TestRefusingInstanceFindsBack(t *testing.T) {
+	q, table := fixture()
+	for _, id := range []string{"a0", "a1", "b0", "b1"} {
+		for range 20 {
+			p := replica.Placement{Leaf: replica.Leaf{ID: id, Service: id[:1], Zone: "z"}}
+			table.End(table.Begin(p, "r", epoch), replica.Answered, at(1000))
+		}
+	}
+	admitted := 0
+	for ms := 1000; ms < 60000; ms += 50 {
+		q = New(table, q.route, standard(), at(ms), at(ms+3000))
+		sends, refusal := q.Start(at(ms))
+		if refusal != nil {
+			continue
+		}
+		admitted++
+		for _, s := range sends {
+			table.End(s.Call, replica.Answered, at(ms+20))
+		}
+	}
+	require.Greater(t, admitted, 600, "of 1180")
+}
+
+// A shard that cannot be asked again once the answer is late ends the query.
+func TestLateQueryGivesUpWhatItCannotAsk(t *testing.T) {
+	q, table := fixture()
+	q.need = 2
+	startAll(t, q)
+	q.Reply(0, 0, replica.Answered, at(20))
+	for table.TakeSecond("b", at(20)) {
+		continue
+	}
+	q.Reply(1, 0, replica.TimedOut, at(150))
+	require.Equal(t, Running, q.State(at(150)), "the budget may have room before the target")
+	q.Tick(at(195))
+	require.Equal(t, Insufficient, q.State(at(195)))
+}
--- a/pkg/fanout/progress.go
+++ b/pkg/fanout/progress.go
@@ -88,15 +88,22 @@
 		s.lookAt = time.Time{}
 		return nil
 	}
-	if v != replica.Placed || q.tooLate(p, now) {
-		return nil
-	}
-	if !q.table.TakeSecond(service, now) {
+	if v != replica.Placed || q.tooLate(p, now) || !q.table.TakeSecond(service, now) {
+		q.giveUp(s, now)
 		return nil
 	}
 	return []Send{q.send(i, p, why, now)}
 }
 
+// giveUp leaves a shard out for good when nothing is open for it and the answer
+// is already late. Waiting for the budget or a leaf to free up would hold the
+// query to its deadline: the budget refills over ten seconds.
+func (q *Query) giveUp(s *shard, now time.Time) {
+	if s.open == 0 && !now.Before(q.softEnd) {
+		s.out = true
+	}
+}
+
 // tooLate reports whether a second request to p would be answered after the
 // answer is given. Once the soft end has passed, anything before the hard end
 // is of use.
--- a/pkg/fanout/replay_test.go
+++ b/pkg/fanout/replay_test.go
@@ -313,7 +313,7 @@
 func standard() Options {
 	return Options{
 		AnswerMargin: 8 * time.Millisecond, PartialAnswers: true,
-		HedgeAtTypical: 2, HedgeAtTarget: 0.25, UsefulTarget: 1,
+		HedgeAtTypical: 2, HedgeAtTarget: 0.25, UsefulTarget: 1, SpareRisk: 2,
 	}
 }
 
@@ -366,6 +366,20 @@
 	require.Less(t, got.late, got.queries/50)
 }
 
+// Load: a zone is cut off, so that two thirds of the shards have one leaf left,
+// each at 105 % of what it can take.
+func TestReplayZoneCut(t *testing.T) {
+	load := busy()
+	load.perSecond = 100
+	load.down = func(shard, n int, at time.Duration) bool { return shard%3 != 0 && n == 0 && at > 5*time.Second }
+	for _, risk := range []float64{100, 3, 2, 1.5, 1, 0.5, 0, -0.5, -1} {
+		opts := standard()
+		opts.SpareRisk = risk
+		got := runReplay(load, opts)
+		t.Logf("risk %v: %.3f in time %d refused %d late %d of %d", risk, got.share(), got.inTime, got.refused, got.late, got.queries)
+	}
+}
+
 // Load: one shard down. Every query goes on without it.
 func TestReplayOneShardDown(t *testing.T) {
 	load := busy()
--- a/pkg/replica/placement.go
+++ b/pkg/replica/placement.go
@@ -10,15 +10,15 @@
 const (
 	// crossZoneFactor is what a leaf in another zone must be faster by to be
 	// taken: bytes between zones are billed and take a round trip longer.
-	crossZoneFactor = 1.25
+	crossZoneFactor = 1.6
 	// tieSpread spreads instances that see two equal leafs over both, as a
 	// part of the cost.
 	tieSpread = 0.1
 	// silentFactor and silentFloor say when a leaf that answers nothing is
-	// suspected: after that many times its expected time, and the floor. A
+	// suspected: after that many times its usual time, and the floor. A
 	// paused leaf (200 to 250 ms) is suspected after about a fifth of its
 	// pause.
-	silentFactor = 2.5
+	silentFactor = 3
 	silentFloor  = 15 * time.Millisecond
 	// suspectCost is added to a suspected leaf's cost: half of a usual pause.
 	suspectCost = 120 * time.Millisecond
@@ -26,39 +26,6 @@
 	refusalsCap = 0.95
 )
 
-// How the typical time of a class of requests is learned.
-const (
-	// typicalDefault stands in until the first reply.
-	typicalDefault = 20 * time.Millisecond
-	// typicalWeight is the weight of one reply once typicalWarmup are in.
-	typicalWeight = 0.02
-	typicalWarmup = 20
-	// typicalClip bounds a reply, in multiples of the typical time, so that
-	// stragglers do not move it.
-	typicalClip = 2
-)
-
-// class is one kind of work, whose replies take about equally long.
-type class struct {
-	typical time.Duration
-	samples int
-}
-
-// learn takes over one reply time.
-func (c *class) learn(took time.Duration) {
-	c.samples++
-	if c.samples == 1 {
-		c.typical = took
-		return
-	}
-	weight := max(typicalWeight, 1/float64(min(c.samples, typicalWarmup)))
-	if c.samples > typicalWarmup {
-		weight = typicalWeight
-	}
-	clipped := min(took, typicalClip*c.typical)
-	c.typical += time.Duration(weight * float64(clipped-c.typical))
-}
-
 // Verdict says whether a leaf was found.
 type Verdict int
 
@@ -83,7 +50,9 @@
 	Leaf Leaf
 	// Expected is how long a reply is expected to take.
 	Expected time.Duration
-	// Suspect: the leaf, or its zone, has been silent for longer than usual.
+	// Refusals is the share of requests that the leaf refuses or breaks.
+	Refusals float64
+	// Suspect: the leaf has been silent for longer than usual.
 	Suspect bool
 }
 
@@ -147,7 +116,8 @@
 		p.Suspect = true
 		p.Expected += suspectCost
 	}
-	cost := float64(p.Expected) / (1 - min(r.refusalsNow(now), refusalsCap))
+	p.Refusals = r.refusalsNow(now)
+	cost := float64(p.Expected) / (1 - min(p.Refusals, refusalsCap))
 	if r.Zone != t.opts.Zone {
 		cost *= crossZoneFactor
 	}
@@ -158,22 +128,6 @@
 	return p, time.Duration(cost)
 }
 
-// typical is the typical reply time of a class.
-func (t *Table) typical(className string) time.Duration {
-	c := t.classes[className]
-	if c == nil || c.samples == 0 {
-		return typicalDefault
-	}
-	return c.typical
-}
-
-// Typical is the typical reply time of a class.
-func (t *Table) Typical(className string) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.typical(className)
-}
-
 // Outcome is what became of a request to a leaf.
 type Outcome int
 
@@ -249,8 +203,8 @@
 		r.answered(now)
 		t.zoneReplied(r.Zone, now)
 		r.learnRefusal(false, now)
-		r.learnSlowness(float64(took)/float64(t.typicalFor(c.class, took)), now)
-		t.classes[c.class].learn(took)
+		t.class(c.class).learn(took)
+		r.learnSlowness(float64(took)/float64(t.typical(c.class)), now)
 	case Failed:
 		r.answered(now)
 		t.zoneReplied(r.Zone, now)
@@ -269,22 +223,8 @@
 		r.learnRefusal(true, now)
 		r.fail(now)
 	case TimedOut:
-		r.learnSlowness(float64(took)/float64(t.typicalFor(c.class, took)), now)
-	}
-}
-
-// typicalFor returns the class's typical time, with the class's row made on
-// first use and took standing in for a first sample.
-func (t *Table) typicalFor(className string, took time.Duration) time.Duration {
-	c := t.classes[className]
-	if c == nil {
-		c = &class{}
-		t.classes[className] = c
-	}
-	if c.samples == 0 {
-		return max(took, 1)
+		r.learnSlowness(float64(took)/float64(t.typical(c.class)), now)
 	}
-	return max(c.typical, 1)
 }
 
 // Suspect reports whether the leaf of a call is silent for longer than usual.
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -263,3 +263,30 @@
 	}
 	return n
 }
+
+// Symptom: second requests come later and later while everything is overloaded.
+// Sequence: replies take ten times as long for eight seconds. Cause: a typical
+// time that follows the overload.
+func TestTypicalTimeOutlastsAnOverload(t *testing.T) {
+	c := &class{}
+	for range 100 {
+		c.learn(20 * time.Millisecond)
+	}
+	const repliesPerSecond = 140
+	for range 8 * repliesPerSecond {
+		c.learn(200 * time.Millisecond)
+	}
+	require.Less(t, c.typical, 50*time.Millisecond)
+	for range 16 * repliesPerSecond {
+		c.learn(20 * time.Millisecond)
+	}
+	require.Less(t, c.typical, 25*time.Millisecond)
+}
+
+func TestProbesAreAdmittedNowAndThen(t *testing.T) {
+	table := testTable()
+	require.True(t, table.AdmitProbe("c", at(0)))
+	require.False(t, table.AdmitProbe("c", at(399)))
+	require.True(t, table.AdmitProbe("other", at(399)))
+	require.True(t, table.AdmitProbe("c", at(400)))
+}
--- a/pkg/replica/row.go
+++ b/pkg/replica/row.go
@@ -13,7 +13,7 @@
 	// slownessHalfLife is how fast a slowness without new replies is
 	// forgotten: a slow leaf gets a request again after about three half
 	// lives, so that one that recovered is found again.
-	slownessHalfLife = 2 * time.Second
+	slownessHalfLife = 1 * time.Second
 	// slownessCap bounds what one reply can say, in multiples of the typical
 	// time: beyond it a leaf is out of use for a deadline anyway.
 	slownessCap = 30
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -63,6 +63,7 @@
 	Partial           bool    `yaml:"partial"`
 	MarginMs          int     `yaml:"margin_ms"`
 	UsefulTarget      float64 `yaml:"useful_target"`
+	SpareRisk         float64 `yaml:"spare_risk"`
 	DefaultPatienceMs int     `yaml:"default_patience_ms"`
 	RetryAfterMs      int     `yaml:"retry_after_ms"`
 }
@@ -133,13 +134,14 @@
 			// The slack declared by the platform is over 2 for each instance
 			// on every size known.
 			Burst:          2,
-			HedgeAtTypical: 2,
+			HedgeAtTypical: 2.5,
 			HedgeAtTarget:  0.25,
 		},
 		Answer: NodeAnswer{
 			Partial:           true,
 			MarginMs:          8,
 			UsefulTarget:      1.0,
+			SpareRisk:         2,
 			DefaultPatienceMs: 5000,
 			RetryAfterMs:      300,
 		},
