A watch of the store ends within the contact time

With the 4 s of before, wait and timeout (5.5 s) still exceeded the contact time of 4 s. Change: wait 2.4 s, bounded by declared.contact_ms less the call timeout; coalescing 0.5 s to 0.8 s.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -122,7 +122,7 @@
 func storeOptions(set *settings.Node) discovery.Options {
 	s := set.Store
 	return discovery.Options{
-		WatchWait: settings.Duration(s.WatchWaitMs), Coalesce: settings.Duration(s.CoalesceMs),
+		WatchWait: set.WatchWait(), Coalesce: settings.Duration(s.CoalesceMs),
 		CallTimeout: settings.Duration(s.CallTimeoutMs), RetryFirst: settings.Duration(s.RetryFirstMs),
 		RetryMost: settings.Duration(s.RetryMostMs), AwayAfter: settings.Duration(s.AwayAfterMs),
 	}
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -98,6 +98,9 @@
 
 // NodeDeclared are bounds that the platform declares to its tenants.
 type NodeDeclared struct {
+	// ContactMs is how soon after a disturbance of the store an instance must
+	// have caught up.
+	ContactMs int `yaml:"contact_ms"`
 	// GraceMs is the time from the stop signal to the kill.
 	GraceMs int `yaml:"grace_ms"`
 	// SecondRatio is how many second requests to a service there may be for
@@ -110,12 +113,14 @@
 func NodeDefaults() Node {
 	return Node{
 		Store: NodeStore{
-			// A third of the 3 s in which a change must be in force is left
-			// when a watch hangs and is noticed at wait plus timeout.
-			WatchWaitMs: 4000,
-			// One call for all changes of half a second; a change is in
-			// force within 0.5 s of the 3 s allowed.
-			CoalesceMs: 500,
+			// A store that drops its history lets waiting watches hear nothing
+			// until their wait is over. With the call timeout this stays
+			// below the 4 s within which an instance must have caught up;
+			// a declared contact time shortens it further.
+			WatchWaitMs: 2400,
+			// One call for all changes of 0.8 s; a change must be in force
+			// within 3 s.
+			CoalesceMs: 800,
 			// The store answers in 4 ms, up to 0.4 s when slow.
 			CallTimeoutMs: 1500,
 			RetryFirstMs:  150,
@@ -159,7 +164,7 @@
 		Log:    NodeLog{LinesPerSecond: 5, Burst: 20, Buffer: 512},
 		Tick:   50,
 		Reload: NodeReload{EveryMs: 2000},
-		Bounds: NodeDeclared{GraceMs: 6000, SecondRatio: 0.2, SecondWindowMs: 10000},
+		Bounds: NodeDeclared{ContactMs: 4000, GraceMs: 6000, SecondRatio: 0.2, SecondWindowMs: 10000},
 	}
 }
 
@@ -209,6 +214,7 @@
 		positive("log.buffer", n.Log.Buffer),
 		positive("tick_ms", n.Tick),
 		positive("reload.every_ms", n.Reload.EveryMs),
+		positive("declared.contact_ms", n.Bounds.ContactMs),
 		positive("declared.grace_ms", n.Bounds.GraceMs),
 		positive("declared.second_window_ms", n.Bounds.SecondWindowMs),
 	)
@@ -221,6 +227,14 @@
 	return hostPort(field, v)
 }
 
+// WatchWait is how long a watch of the store waits for a change: together with
+// the timeout of a call it stays within the declared contact time.
+func (n *Node) WatchWait() time.Duration {
+	const leastWait = 500
+	within := max(n.Bounds.ContactMs-n.Store.CallTimeoutMs, leastWait)
+	return Duration(min(n.Store.WatchWaitMs, within))
+}
+
 // StopBudget is how long requests in flight may take after the leave time.
 func (n *Node) StopBudget() time.Duration {
 	return Duration(max(n.Bounds.GraceMs-n.Stop.LeaveMs-n.Stop.MarginMs, 0))
--- /dev/null
+++ b/pkg/settings/node_test.go
@@ -0,0 +1,57 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/indigoyoke/indigoyoke/pkg/errcode"
+)
+
+const nodeYAML = "name: n\nzone: z\nlisten: {callers: '127.0.0.1:0', readiness: '127.0.0.1:0'}\nstore: {address: '127.0.0.1:1'}\n"
+
+func loadNode(t *testing.T, more string) (*Node, error) {
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(nodeYAML+more), 0o644))
+	return LoadNode(path)
+}
+
+func TestNodeDefaultsCheck(t *testing.T) {
+	n, err := loadNode(t, "")
+	require.NoError(t, err)
+	require.True(t, n.Answer.Partial)
+	require.Equal(t, 3*time.Second, n.StopBudget())
+}
+
+func TestNodeSettingsRefusedWithField(t *testing.T) {
+	for more, field := range map[string]string{
+		"tick_ms: -1\n":                           "tick_ms",
+		"answers: {margin_ms: 0}\n":               "answers.margin_ms",
+		"stop: {leave_ms: 7000}\n":                "stop.leave_ms",
+		"unheard_of: 1\n":                         "unheard_of",
+		"second_requests: {hedge_at_target: 0}\n": "second_requests.hedge_at_target",
+		"log: {lines_per_second: 0}\n":            "log.lines_per_second",
+	} {
+		_, err := loadNode(t, more)
+		require.Error(t, err, more)
+		require.Equal(t, errcode.SettingsInvalid, errcode.Of(err))
+		require.Contains(t, err.Error(), field)
+	}
+}
+
+// A watch and the timeout of its call end within the declared contact time.
+func TestWatchWaitKeepsToTheContactTime(t *testing.T) {
+	for more, want := range map[string]time.Duration{
+		"":                               2400 * time.Millisecond,
+		"declared: {contact_ms: 5000}\n": 2400 * time.Millisecond,
+		"declared: {contact_ms: 3000}\n": 1500 * time.Millisecond,
+		"declared: {contact_ms: 1000}\n": 500 * time.Millisecond,
+	} {
+		n, err := loadNode(t, more)
+		require.NoError(t, err)
+		require.Equal(t, want, n.WatchWait(), more)
+	}
+}
