--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -15,6 +15,12 @@
 	// many have one that would answer too late.
 	Unreachable int
 	Late        int
+	// Risk is how many of the other shards are expected to miss the answer,
+	// and Spare how many may.
+	Risk  float64
+	Spare int
+	// Overloaded: enough shards have a leaf, but too many would be missing.
+	Overloaded bool
 	// RetryAfter is when the query is worth asking again.
 	RetryAfter time.Duration
 }
@@ -54,19 +60,20 @@
 			refusal.Unreachable++
 		}
 	}
-	spare := len(q.shards) - q.need - refusal.Unreachable
-	if spare < 0 {
+	refusal.Spare = len(q.shards) - q.need - refusal.Unreachable
+	if refusal.Spare < 0 {
 		refusal.RetryAfter = retryUnreachable
 		return nil, &refusal
 	}
 	late := q.late(found, now)
-	overloaded := len(late) > spare || q.risk(found, now) > float64(spare)+q.opts.SpareRisk
-	if overloaded && !q.table.AdmitProbe(q.route.Name, now) {
-		refusal.Late = len(late)
+	refusal.Late = len(late)
+	refusal.Risk = q.risk(found, now)
+	refusal.Overloaded = refusal.Late > refusal.Spare || refusal.Risk > float64(refusal.Spare)+q.opts.SpareRisk
+	if refusal.Overloaded && !q.table.AdmitProbe(q.route.Name, now) {
 		refusal.RetryAfter = retryLate
 		return nil, &refusal
 	}
-	for _, p := range late[:min(len(late), spare)] {
+	for _, p := range late[:min(refusal.Late, refusal.Spare)] {
 		q.shards[p.shard].out = true
 	}
 	return q.sendFirst(found, now), nil
--- /dev/null
+++ b/pkg/gateway/gateway_test.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/stretchr/testify/require"
+
+	"github.com/indigoyoke/indigoyoke/pkg/errcode"
+	"github.com/indigoyoke/indigoyoke/pkg/fanout"
+	"github.com/indigoyoke/indigoyoke/pkg/merge"
+	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+	"github.com/indigoyoke/indigoyoke/pkg/replica"
+	"github.com/indigoyoke/indigoyoke/pkg/routing"
+)
+
+// scripted are leafs that answer as a function says.
+type scripted struct {
+	answer func(ctx context.Context, call LeafCall) LeafReply
+}
+
+func (s *scripted) Do(ctx context.Context, call LeafCall) LeafReply { return s.answer(ctx, call) }
+func (s *scripted) Probe(context.Context, replica.Leaf, string, time.Time) bool {
+	return false
+}
+func (s *scripted) Forget(string) {}
+func (s *scripted) MergeParts(bodies [][]byte, k int) []byte {
+	return merge.Greatest(bodies, 16, k)
+}
+
+// answered is a good reply at once.
+func answered(_ context.Context, call LeafCall) LeafReply {
+	return LeafReply{Outcome: replica.Answered, Status: 200, Body: part, Proof: call.Leaf.ID}
+}
+
+var part = make([]byte, 400)
+
+// newGateway has a gather route over n shards with two leafs each, a repeatable
+// and an at-most-once route.
+func newGateway(tb testing.TB, n int, answer func(context.Context, LeafCall) LeafReply) *Gateway {
+	table := replica.NewTable(replica.Options{
+		Zone: "z", ConnsPerLeaf: 64, Instances: 1,
+		Budget: replica.BudgetOptions{Ratio: 0.2, Window: 10 * time.Second, Burst: 2},
+	})
+	log := oplog.New(io.Discard, nil, oplog.Options{LinesPerSecond: 5, Burst: 20, Buffer: 64})
+	opts := Options{
+		Fanout: fanout.Options{
+			AnswerMargin: 5 * time.Millisecond, PartialAnswers: true, HedgeAtTypical: 2.5,
+			HedgeAtTarget: 0.25, UsefulTarget: 1, SpareRisk: 2,
+		},
+		MaxInFlight: 100, Workers: 10000, DefaultPatience: 2 * time.Second,
+		AnswerMargin: 5 * time.Millisecond, RetryAfter: 300 * time.Millisecond,
+	}
+	g, err := New(opts, table, &scripted{answer}, log, NewStats(metrics.NewSet()))
+	require.NoError(tb, err)
+	tb.Cleanup(g.Close)
+	gather := &routing.Route{
+		Name: "all", Host: "h", Prefix: "/all/", Kind: routing.Gather, TopK: 20, MinShare: 0.89,
+		MaxAttempts: 2, TargetLatency: 300 * time.Millisecond,
+	}
+	for i := range n {
+		service := fmt.Sprint("s", i)
+		gather.Shards = append(gather.Shards, service)
+		addLeafs(table, service)
+	}
+	addLeafs(table, "one")
+	one := []routing.Target{{Service: "one", Weight: 1}}
+	g.SetConfig(routing.NewConfig(1, []*routing.Route{
+		gather,
+		{Name: "one", Host: "h", Prefix: "/one/", Kind: routing.Repeatable, Targets: one, MaxAttempts: 2, TargetLatency: 100 * time.Millisecond},
+		{Name: "hold", Host: "h", Prefix: "/hold/", Kind: routing.AtMostOnce, Targets: one, MaxAttempts: 2},
+	}, nil, routing.Limits{}))
+	return g
+}
+
+func addLeafs(t *replica.Table, service string) {
+	for _, id := range []string{"a", "b"} {
+		t.Upsert(replica.Leaf{ID: service + id, Service: service, Zone: "z", Slots: 2}, time.Now())
+	}
+}
+
+func ask(g *Gateway, path string) Answer {
+	return g.Handle(context.Background(), &Request{ID: "r", Method: "GET", Host: "h", Target: path, Path: path, Arrived: time.Now()})
+}
+
+func TestAnswers(t *testing.T) {
+	always := func(o replica.Outcome) func(context.Context, LeafCall) LeafReply {
+		return func(context.Context, LeafCall) LeafReply { return LeafReply{Outcome: o} }
+	}
+	for name, tc := range map[string]struct {
+		path   string
+		answer func(context.Context, LeafCall) LeafReply
+		want   errcode.Code
+	}{
+		"no route":                          {"/none/", answered, errcode.UnknownRoute},
+		"gather":                            {"/all/", answered, errcode.OK},
+		"gather, every leaf breaks off":     {"/all/", always(replica.Broken), errcode.TooFewShards},
+		"gather, no leaf takes it":          {"/all/", always(replica.Refused), errcode.ShardsUnavailable},
+		"one":                               {"/one/", answered, errcode.OK},
+		"one, both refuse":                  {"/one/", always(replica.Refused), errcode.ShardsUnavailable},
+		"one, both break off":               {"/one/", always(replica.Broken), errcode.LeafFailed},
+		"hold":                              {"/hold/", answered, errcode.OK},
+		"hold, refused":                     {"/hold/", always(replica.NotSent), errcode.ShardsUnavailable},
+		"hold, breaks off: outcome unknown": {"/hold/", always(replica.Broken), errcode.OutcomeUnknown},
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := ask(newGateway(t, 20, tc.answer), tc.path)
+			require.Equal(t, tc.want, a.Code)
+			require.Equal(t, a.Code.HTTPStatus() == 503, a.RetryAfter > 0, "a refusal says when to come back")
+		})
+	}
+}
+
+func TestMoreThanMaxInFlightIsRefused(t *testing.T) {
+	hold := make(chan struct{})
+	g := newGateway(t, 1, func(ctx context.Context, call LeafCall) LeafReply {
+		<-hold
+		return answered(ctx, call)
+	})
+	opts := *g.opts.Load()
+	opts.MaxInFlight = 1
+	g.SetOptions(opts)
+	first := make(chan Answer)
+	go func() { first <- ask(g, "/one/") }()
+	require.Eventually(t, func() bool { return g.InFlight() == 1 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, errcode.EntryOverloaded, ask(g, "/one/").Code)
+	close(hold)
+	require.Equal(t, errcode.OK, (<-first).Code)
+}
+
+// BenchmarkQuery is the processor time and the allocations of one query over n
+// shards, leafs answering at once: decisions, goroutines and merging.
+func BenchmarkQuery(b *testing.B) {
+	for _, n := range []int{20, 70, 90} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			g := newGateway(b, n, answered)
+			b.ReportAllocs()
+			for b.Loop() {
+				if a := ask(g, "/all/"); a.Code != errcode.OK {
+					b.Fatal(a.Code)
+				}
+			}
+		})
+	}
+}
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -57,14 +57,15 @@
 
 // refuseGather answers a query that too few shards could serve in time.
 func (g *Gateway) refuseGather(req *Request, route *routing.Route, r *fanout.Refusal) Answer {
-	code := errcode.ShardsOverloaded
-	if r.Late == 0 {
-		code = errcode.ShardsUnavailable
+	code := errcode.ShardsUnavailable
+	if r.Overloaded {
+		code = errcode.ShardsOverloaded
 	}
 	g.stats.refused(code)
 	g.log.Decision("query_refused", oplog.Fields{
 		"request": req.ID, "route": route.Name, "code": code.String(), "reason": code.Name(),
 		"shards": len(route.Shards), "shards_unreachable": r.Unreachable, "shards_late": r.Late,
+		"risk": r.Risk, "may_miss": r.Spare,
 		"retry_after_ms": r.RetryAfter.Milliseconds(), "config_version": g.version(),
 	})
 	return Answer{Code: code, RetryAfter: r.RetryAfter}
