--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -47,6 +47,11 @@
 		own = append(own, l)
 		instances[l.text("instance")] = true
 		leafs[l.text("leaf")] = true
+		if tried, ok := l.fields["leafs"].([]any); ok {
+			for _, leaf := range tried {
+				leafs[fmt.Sprint(leaf)] = true
+			}
+		}
 	}
 	if len(own) == 0 {
 		return 0, nil
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -10,9 +10,10 @@
 )
 
 const logA = `  33.1 front-a {"time":"2026-05-04T15:39:27.000Z","event":"leaf_down","instance":"a","leaf":"i-1"}
+{"time":"2026-05-04T15:39:27.500Z","event":"leaf_gone","instance":"a","leaf":"i-2"}
 not a line
 {"time":"2026-05-04T15:39:28.000Z","event":"leaf_down","instance":"a","leaf":"i-9"}
-{"time":"2026-05-04T15:39:29.300Z","event":"partial_answer","instance":"a","request":"r1","covered":18}
+{"time":"2026-05-04T15:39:29.300Z","event":"partial_answer","instance":"a","request":"r1","covered":18,"leafs":["i-2"]}
 {"time":"2026-05-04T15:39:29.100Z","event":"second_request","instance":"a","request":"r1","leaf":"i-1","why":"slow"}
 {"time":"2026-05-04T15:39:29.200Z","event":"second_request","instance":"a","request":"r2","leaf":"i-1","why":"slow"}
 {"time":"2026-05-04T15:39:20.000Z","event":"store_lost","instance":"a"}
@@ -27,8 +28,9 @@
 	require.Equal(t, 2, n)
 	require.Equal(t, strings.Join([]string{
 		"  (before) 15:39:27.000 a leaf_down leaf=i-1",
+		"  (before) 15:39:27.500 a leaf_gone leaf=i-2",
 		"15:39:29.100 a second_request leaf=i-1 why=slow",
-		"15:39:29.300 a partial_answer covered=18",
+		"15:39:29.300 a partial_answer covered=18 leafs=[i-2]",
 	}, "\n")+"\n", out.String())
 }
 
