A zone that refuses connections is suspected as a whole

Change: leafs that are down count too when nothing of the zone replies; probes go to a leaf that is not down.

--- a/pkg/gateway/tick.go
+++ b/pkg/gateway/tick.go
@@ -26,7 +26,7 @@
 		g.log.State("leaf_gone", oplog.Fields{"leaf": id, "reason": "not back after the store's return"})
 	}
 	for _, zone := range g.table.SuspectZones(now) {
-		g.log.State("zone_lost", oplog.Fields{"suspected_zone": zone, "reason": "all its leafs are silent"})
+		g.log.State("zone_lost", oplog.Fields{"suspected_zone": zone, "reason": "no reply, several leafs silent or down"})
 	}
 	for _, leaf := range g.table.ZoneProbes(now) {
 		go g.probeZone(leaf)
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -171,6 +171,22 @@
 	require.False(t, table.Cut())
 }
 
+// Symptom: a zone that is cut off with refused connections is noticed leaf by
+// leaf. The same mark as for silence is set when several leafs are down and none
+// of their zone replies.
+func TestZoneThatRefusesConnectionsIsSuspected(t *testing.T) {
+	table := testTable(leaf("a", "z2"), leaf("b", "z2"), leaf("c", "z2"), leaf("d", "z2"))
+	run(table, Placement{Leaf: leaf("d", "z2")}, t0, 20*time.Millisecond)
+	for _, id := range []string{"a", "b", "c"} {
+		for range downAfter {
+			table.End(table.Begin(Placement{Leaf: leaf(id, "z2")}, "c", at(100)), NotSent, at(101))
+		}
+	}
+	require.Empty(t, table.SuspectZones(at(110)), "the zone replied a moment ago")
+	require.Equal(t, []string{"z2"}, table.SuspectZones(at(300)))
+	require.Equal(t, "d", table.ZoneProbes(at(700))[0].ID, "the leaf that is not down itself is probed")
+}
+
 // One leaf's pause never means its zone.
 func TestOneSilentLeafIsNoSilentZone(t *testing.T) {
 	table := testTable(leaf("a", "z2"), leaf("b", "z2"), leaf("c", "z2"), leaf("d", "z2"))
--- a/pkg/replica/zones.go
+++ b/pkg/replica/zones.go
@@ -7,8 +7,8 @@
 
 // How a zone that cannot be reached is noticed.
 const (
-	// zoneSilentLeafs is how many leafs of a zone must be silent at once:
-	// pauses hit one leaf at a time.
+	// zoneSilentLeafs is how many leafs of a zone must be silent or refuse
+	// connections at once: pauses hit one leaf at a time.
 	zoneSilentLeafs = 3
 	// zoneSilence is how long the whole zone must have answered nothing.
 	zoneSilence = 150 * time.Millisecond
@@ -40,13 +40,14 @@
 // When a zone is cut off, its connections hang without an error. Each of its
 // leafs would be found silent one by one, each at the price of a request that
 // waits and of a second one; one notices the budgets for second requests used
-// up at once. Several leafs silent with no reply from their zone mean the zone.
+// up at once. Several leafs silent, or down, with no reply from their zone mean
+// the zone.
 func (t *Table) SuspectZones(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	silent := make(map[string]int)
 	for _, r := range t.leafs {
-		if r.silentFor(now) > zoneSilence {
+		if r.silentFor(now) > zoneSilence || r.failures >= downAfter {
 			silent[r.Zone]++
 		}
 	}
@@ -82,18 +83,26 @@
 	return out
 }
 
-// anyLeaf draws a leaf of a zone that is not leaving.
+// anyLeaf draws a leaf of a zone that is not leaving, one that is not down if
+// there is one.
 func (t *Table) anyLeaf(zone string) (Leaf, bool) {
-	var found []Leaf
+	var up, down []Leaf
 	for _, r := range t.leafs {
-		if r.Zone == zone && !r.Draining {
-			found = append(found, r.Leaf)
+		switch {
+		case r.Zone != zone || r.Draining:
+		case r.failures >= downAfter:
+			down = append(down, r.Leaf)
+		default:
+			up = append(up, r.Leaf)
 		}
 	}
-	if len(found) == 0 {
+	if len(up) == 0 {
+		up = down
+	}
+	if len(up) == 0 {
 		return Leaf{}, false
 	}
-	return found[rand.IntN(len(found))], true
+	return up[rand.IntN(len(up))], true
 }
 
 // ZoneAnswered takes over that a probe of a zone was answered. It reports
