--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -19,6 +19,7 @@
 
 	"github.com/indigoyoke/indigoyoke/pkg/configwatch"
 	"github.com/indigoyoke/indigoyoke/pkg/relay"
+	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
@@ -49,7 +50,7 @@
 	watcher      *configwatch.Watcher
 	relay        *relay.Relay
 	backends     *backendTable
-	budget       *hedgeBudget
+	budget       *replica.Budget
 	pool         *ants.Pool
 	client       *service.Client
 	platformHTTP *service.Client
--- a/pkg/entry/fanout.go
+++ b/pkg/entry/fanout.go
@@ -102,7 +102,7 @@
 		case !f.send(i):
 			f.finish(i, shardResult{shard: f.shards[i].ID, code: errcode.EntryOverloaded, msg: "worker pool full: not run"})
 		case hedged:
-			f.e.budget.deposit()
+			f.e.budget.Request(now)
 			r.hedgeAt = now.Add(f.e.hedgeDelay(r.cands[0]))
 		}
 	}
@@ -185,7 +185,7 @@
 			continue
 		}
 		r.hedgeAt = time.Time{}
-		if r.another() && f.e.budget.take() && f.send(i) {
+		if r.another() && f.e.budget.Take(now) && f.send(i) {
 			f.e.stats.hedges.Inc()
 		}
 	}
--- a/pkg/entry/hedge.go
+++ b/pkg/entry/hedge.go
@@ -1,17 +1,19 @@
 package entry
 
 import (
-	"sync"
 	"time"
 
+	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
 )
 
 // Hedging bounds.
 const (
-	// budgetCap bounds the hedges saved up in quiet times, so a burst of
-	// slowness cannot spend more than this at once.
-	budgetCap = 20
+	// hedgeWindow is the span over which the percentage holds, and
+	// hedgeBurst what may be sent beyond it: half a search over 20 shards,
+	// before there is any traffic to take a percentage of.
+	hedgeWindow = 10 * time.Second
+	hedgeBurst  = 10
 	// hedgeRank is the rank, among a window of sorted latencies, of how long
 	// the first request may take before a hedge is sent: the 90th percentile
 	// ("The Tail at Scale", Dean and Barroso, 2013). A mean-plus-deviations
@@ -20,34 +22,16 @@
 	hedgeRank = (latencyWindow - 1) * 9 / 10
 )
 
-// hedgeBudget is a token bucket: each first leaf request earns pct/100 of
-// a token and each hedge spends one, so hedges stay within pct percent of
-// leaf requests. Without a budget, a backend server that turns slow for
-// everyone would double its own load exactly when it can least take it.
-type hedgeBudget struct {
-	mu     sync.Mutex
-	tokens float64
-	earn   float64
-}
-
-func newHedgeBudget(pct int) *hedgeBudget {
-	return &hedgeBudget{earn: float64(pct) / 100, tokens: budgetCap / 2}
-}
-
-func (b *hedgeBudget) deposit() {
-	b.mu.Lock()
-	b.tokens = min(b.tokens+b.earn, budgetCap)
-	b.mu.Unlock()
-}
-
-func (b *hedgeBudget) take() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.tokens < 1 {
-		return false
+// newHedgeBudget keeps hedges within pct percent of the leaf requests of the
+// last ten seconds, and hedgeBurst more. Without a budget, a backend server that
+// turns slow for everyone would double its own load exactly when it can least
+// take it.
+func newHedgeBudget(pct int) *replica.Budget {
+	opts := replica.BudgetOptions{Ratio: float64(pct) / 100, Window: hedgeWindow}
+	if pct > 0 {
+		opts.Burst = hedgeBurst
 	}
-	b.tokens--
-	return true
+	return replica.NewBudget(opts)
 }
 
 // hedgeDelay is how long to wait for the first leaf before asking a second:
--- a/pkg/leafconn/quiet.go
+++ b/pkg/leafconn/quiet.go
@@ -1,10 +1,6 @@
 package leafconn
 
-import (
-	"syscall"
-
-	"golang.org/x/sys/unix"
-)
+import "github.com/indigoyoke/indigoyoke/pkg/sock"
 
 // quiet reports whether an idle connection is open and has no bytes waiting.
 //
@@ -17,19 +13,6 @@
 	if c.br.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	open := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		open = err == unix.EAGAIN
-	})
-	return open && err == nil
+	state := sock.Peek(c.Conn)
+	return state == sock.Quiet || state == sock.Unknown
 }
--- a/pkg/replica/budget.go
+++ b/pkg/replica/budget.go
@@ -1,6 +1,9 @@
 package replica
 
-import "time"
+import (
+	"sync"
+	"time"
+)
 
 // BudgetOptions bound the second requests to one service.
 type BudgetOptions struct {
@@ -22,6 +25,7 @@
 const budgetBuckets = 10
 
 // Budget bounds the second requests (hedges and repeats alike) to one service.
+// It is safe for concurrent use.
 //
 // The published bound is on the sum over all instances, which do not talk to
 // each other. Each instance keeps the same ratio of its own requests, so the
@@ -29,6 +33,7 @@
 // Without the bound, a slow shard gets twice its load from all instances just
 // when it can least take it.
 type Budget struct {
+	mu      sync.Mutex
 	opts    BudgetOptions
 	width   time.Duration
 	first   [budgetBuckets + 1]int
@@ -44,6 +49,13 @@
 	return &Budget{opts: opts, width: opts.Window / budgetBuckets}
 }
 
+// SetOptions puts other bounds in force; what was counted stays.
+func (b *Budget) SetOptions(opts BudgetOptions) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.opts = opts
+}
+
 // advance clears the buckets that fell out of the window.
 func (b *Budget) advance(now time.Time) int {
 	if b.started.IsZero() {
@@ -60,10 +72,16 @@
 }
 
 // Request counts one request for the service, sent or not.
-func (b *Budget) Request(now time.Time) { b.first[b.advance(now)]++ }
+func (b *Budget) Request(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.first[b.advance(now)]++
+}
 
 // Take counts one second request if the budget has room for it.
 func (b *Budget) Take(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	i := b.advance(now)
 	if b.room(i) < 1 {
 		return false
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -92,7 +92,7 @@
 	defer t.mu.Unlock()
 	t.opts = opts
 	for _, s := range t.services {
-		s.budget.opts = opts.Budget
+		s.budget.SetOptions(opts.Budget)
 	}
 }
 
--- a/pkg/service/gone.go
+++ b/pkg/service/gone.go
@@ -3,9 +3,8 @@
 import (
 	"context"
 	"net"
-	"syscall"
 
-	"golang.org/x/sys/unix"
+	"github.com/indigoyoke/indigoyoke/pkg/sock"
 )
 
 // connKey is the context key of the connection a request came on.
@@ -22,19 +21,6 @@
 // paused, or short of processor time) may be run by then although its caller
 // left long ago. This asks the socket at once, without reading from it.
 func CallerGone(ctx context.Context) bool {
-	conn, ok := ctx.Value(connKey{}).(syscall.Conn)
-	if !ok {
-		return false
-	}
-	raw, err := conn.SyscallConn()
-	if err != nil {
-		return true
-	}
-	gone := false
-	err = raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		gone = (err == nil && n == 0) || err == unix.ECONNRESET
-	})
-	return gone || err != nil
+	conn, ok := ctx.Value(connKey{}).(net.Conn)
+	return ok && sock.Peek(conn) == sock.Closed
 }
