--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -15,12 +15,17 @@
 	// many have one that would answer too late.
 	Unreachable int
 	Late        int
+	// Busy is how many shards have leafs whose connections are all in use
+	// here.
+	Busy int
 	// Risk is how many of the other shards are expected to miss the answer,
 	// and Spare how many may.
 	Risk  float64
 	Spare int
 	// Overloaded: enough shards have a leaf, but too many would be missing.
 	Overloaded bool
+	// TryAt is when to call Start again, zero when the refusal is final.
+	TryAt time.Time
 	// RetryAfter is when the query is worth asking again.
 	RetryAfter time.Duration
 }
@@ -47,22 +52,9 @@
 // told when to come back: it may then be served in time, while its requests
 // would have made every queue longer.
 func (q *Query) Start(now time.Time) ([]Send, *Refusal) {
-	found := make([]placed, len(q.shards))
-	var refusal Refusal
-	for i := range q.shards {
-		service := q.route.Shards[i]
-		q.table.CountRequest(service, now)
-		p, v := q.table.Place(service, q.route.Name, nil, now)
-		found[i] = placed{shard: i, placement: p}
-		q.shards[i].verdict = v
-		if v != replica.Placed {
-			q.shards[i].out = true
-			refusal.Unreachable++
-		}
-	}
-	refusal.Spare = len(q.shards) - q.need - refusal.Unreachable
+	found, refusal := q.place(now)
 	if refusal.Spare < 0 {
-		refusal.RetryAfter = retryUnreachable
+		q.hint(&refusal, now)
 		return nil, &refusal
 	}
 	late := q.late(found, now)
@@ -79,6 +71,52 @@
 	return q.sendFirst(found, now), nil
 }
 
+// place looks for a leaf of every shard.
+func (q *Query) place(now time.Time) ([]placed, Refusal) {
+	found := make([]placed, len(q.shards))
+	var refusal Refusal
+	for i := range q.shards {
+		service := q.route.Shards[i]
+		if !q.counted {
+			q.table.CountRequest(service, now)
+		}
+		p, v := q.table.Place(service, q.route.Name, nil, now)
+		found[i] = placed{shard: i, placement: p}
+		q.shards[i].verdict = v
+		q.shards[i].out = v != replica.Placed
+		switch v {
+		case replica.Placed:
+		case replica.AllBusy:
+			refusal.Busy++
+		default:
+			refusal.Unreachable++
+		}
+	}
+	q.counted = true
+	refusal.Spare = len(q.shards) - q.need - refusal.Unreachable - refusal.Busy
+	return found, refusal
+}
+
+// hint says when a query that lacks leafs is worth asking again.
+//
+// Connections that are in use are free again within a leaf's reply time. Such a
+// query waits for them, unrun, for a part of the target in which its caller may
+// still be served in time; refusing it at once sent two in five callers away
+// while the leafs had room 15 ms later.
+func (q *Query) hint(r *Refusal, now time.Time) {
+	if r.Spare+r.Busy < 0 {
+		r.RetryAfter = retryUnreachable
+		return
+	}
+	r.Overloaded = true
+	r.RetryAfter = retryLate
+	next := now.Add(retryStep)
+	wait := time.Duration(q.opts.AdmitWait * float64(q.route.TargetLatency))
+	if !next.After(q.start.Add(wait)) {
+		r.TryAt = next
+	}
+}
+
 // placed is a shard with the leaf found for it.
 type placed struct {
 	shard     int
