--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -24,8 +24,6 @@
 	Spare int
 	// Overloaded: enough shards have a leaf, but too many would be missing.
 	Overloaded bool
-	// TryAt is when to call Start again, zero when the refusal is final.
-	TryAt time.Time
 	// RetryAfter is when the query is worth asking again.
 	RetryAfter time.Duration
 }
@@ -54,7 +52,7 @@
 func (q *Query) Start(now time.Time) ([]Send, *Refusal) {
 	found, refusal := q.place(now)
 	if refusal.Spare < 0 {
-		q.hint(&refusal, now)
+		refusal.lacking()
 		return nil, &refusal
 	}
 	late := q.late(found, now)
@@ -77,9 +75,7 @@
 	var refusal Refusal
 	for i := range q.shards {
 		service := q.route.Shards[i]
-		if !q.counted {
-			q.table.CountRequest(service, now)
-		}
+		q.table.CountRequest(service, now)
 		p, v := q.table.Place(service, q.route.Name, nil, now)
 		found[i] = placed{shard: i, placement: p}
 		q.shards[i].verdict = v
@@ -92,29 +88,21 @@
 			refusal.Unreachable++
 		}
 	}
-	q.counted = true
 	refusal.Spare = len(q.shards) - q.need - refusal.Unreachable - refusal.Busy
 	return found, refusal
 }
 
-// hint says when a query that lacks leafs is worth asking again.
-//
-// Connections that are in use are free again within a leaf's reply time. Such a
-// query waits for them, unrun, for a part of the target in which its caller may
-// still be served in time; refusing it at once sent two in five callers away
-// while the leafs had room 15 ms later.
-func (q *Query) hint(r *Refusal, now time.Time) {
+// lacking gives a refusal for want of leafs its kind and hint. Connections that
+// are in use are free again within a leaf's reply time, so a query that lacks
+// only those is overload; waiting for them, unrun, for a fifth of the target made
+// no difference, because the leafs behind them are full.
+func (r *Refusal) lacking() {
 	if r.Spare+r.Busy < 0 {
 		r.RetryAfter = retryUnreachable
 		return
 	}
 	r.Overloaded = true
 	r.RetryAfter = retryLate
-	next := now.Add(retryStep)
-	wait := time.Duration(q.opts.AdmitWait * float64(q.route.TargetLatency))
-	if !next.After(q.start.Add(wait)) {
-		r.TryAt = next
-	}
 }
 
 // placed is a shard with the leaf found for it.
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -32,9 +32,6 @@
 	// SpareRisk is how many shards more than may be missing a query may be
 	// expected to miss when it is admitted.
 	SpareRisk float64
-	// AdmitWait is how long a query may wait for connections before it is
-	// sent or refused, as a part of the target.
-	AdmitWait float64
 }
 
 // retryStep is how soon a shard whose second request found no budget or no
@@ -106,8 +103,6 @@
 	need    int
 	covered int
 	ran     bool
-	// counted: the query was counted for the budgets.
-	counted bool
 }
 
 // New starts a query that arrived at start and must end by hardEnd.
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -152,3 +152,28 @@
 	q.Tick(at(195))
 	require.Equal(t, Insufficient, q.State(at(195)))
 }
+
+// A query whose shards only lack a free connection is refused as overload, with a
+// short hint; one whose leafs are gone is not.
+func TestRefusalsSayWhy(t *testing.T) {
+	q, table := fixture()
+	for range 4 {
+		for _, id := range []string{"a0", "a1", "b0", "b1"} {
+			table.Begin(replica.Placement{Leaf: replica.Leaf{ID: id}}, "r", epoch)
+		}
+	}
+	_, refusal := q.Start(epoch)
+	require.NotNil(t, refusal)
+	require.True(t, refusal.Overloaded)
+	require.Equal(t, 2, refusal.Busy)
+	require.Equal(t, retryLate, refusal.RetryAfter)
+
+	q, table = fixture()
+	for _, id := range []string{"a0", "a1", "b0", "b1"} {
+		table.Remove(id, epoch)
+	}
+	_, refusal = q.Start(epoch)
+	require.False(t, refusal.Overloaded)
+	require.Equal(t, 2, refusal.Unreachable)
+	require.Equal(t, retryUnreachable, refusal.RetryAfter)
+}
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -41,7 +41,7 @@
 // gather runs a query over all shards of its route.
 func (g *Gateway) gather(ctx context.Context, req *Request, route *routing.Route, end time.Time) Answer {
 	query := fanout.New(g.table, route, g.opts.Load().Fanout, req.Arrived, end)
-	sends, refusal := admit(ctx, query)
+	sends, refusal := query.Start(time.Now())
 	if refusal != nil {
 		return g.refuseGather(req, route, refusal)
 	}
@@ -55,24 +55,6 @@
 	return run.wait()
 }
 
-// admit starts a query, or returns its final refusal.
-func admit(ctx context.Context, query *fanout.Query) ([]fanout.Send, *fanout.Refusal) {
-	for {
-		now := time.Now()
-		sends, refusal := query.Start(now)
-		if refusal == nil || refusal.TryAt.IsZero() {
-			return sends, refusal
-		}
-		timer := time.NewTimer(refusal.TryAt.Sub(now))
-		select {
-		case <-timer.C:
-		case <-ctx.Done():
-			timer.Stop()
-			return nil, refusal
-		}
-	}
-}
-
 // refuseGather answers a query that too few shards could serve in time.
 func (g *Gateway) refuseGather(req *Request, route *routing.Route, r *fanout.Refusal) Answer {
 	code := errcode.ShardsUnavailable
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -110,7 +110,7 @@
 		Fanout: fanout.Options{
 			AnswerMargin: margin, PartialAnswers: set.Answer.Partial,
 			HedgeAtTypical: set.Second.HedgeAtTypical, HedgeAtTarget: set.Second.HedgeAtTarget,
-			UsefulTarget: set.Answer.UsefulTarget, SpareRisk: set.Answer.SpareRisk, AdmitWait: set.Answer.AdmitWait,
+			UsefulTarget: set.Answer.UsefulTarget, SpareRisk: set.Answer.SpareRisk,
 		},
 		MaxInFlight: set.Limits.MaxInFlight, Workers: set.Limits.Workers,
 		DefaultPatience: settings.Duration(set.Answer.DefaultPatienceMs),
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -64,7 +64,6 @@
 	MarginMs          int     `yaml:"margin_ms"`
 	UsefulTarget      float64 `yaml:"useful_target"`
 	SpareRisk         float64 `yaml:"spare_risk"`
-	AdmitWait         float64 `yaml:"admit_wait"`
 	DefaultPatienceMs int     `yaml:"default_patience_ms"`
 	RetryAfterMs      int     `yaml:"retry_after_ms"`
 }
@@ -148,7 +147,6 @@
 			MarginMs:          8,
 			UsefulTarget:      1.0,
 			SpareRisk:         2,
-			AdmitWait:         0.2,
 			DefaultPatienceMs: 5000,
 			RetryAfterMs:      300,
 		},
