A caller that leaves does not break off a request that may run once

Cause, by reading: one context ended every leaf call of a request with its caller, holds too, so that a bed hold could be broken off half way. Change: calls of at-most-once routes run to their own deadline.

--- a/pkg/gateway/single.go
+++ b/pkg/gateway/single.go
@@ -18,7 +18,8 @@
 // singleRun is one request to one leaf under way.
 type singleRun struct {
 	g       *Gateway
-	ctx     context.Context
+	caller  context.Context
+	calls   context.Context
 	req     *Request
 	route   *routing.Route
 	service string
@@ -37,12 +38,17 @@
 	if service == "" {
 		return g.refuse(req, route, errcode.ShardsUnavailable, g.opts.Load().RetryAfter)
 	}
-	// Calls still open when the answer is given are ended: their work is for
-	// nobody.
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
+	// Calls still open when the answer is given, or the caller has left, are
+	// ended: their work is for nobody. Not so a request that may run once: what
+	// has begun is better finished than broken off half way.
+	calls := context.WithoutCancel(ctx)
+	if route.Kind != routing.AtMostOnce {
+		var cancel context.CancelFunc
+		calls, cancel = context.WithCancel(ctx)
+		defer cancel()
+	}
 	run := &singleRun{
-		g: g, ctx: ctx, req: req, route: route, service: service, end: end,
+		g: g, caller: ctx, calls: calls, req: req, route: route, service: service, end: end,
 		replies: make(chan LeafReply, max(route.MaxAttempts, 1)),
 	}
 	g.table.CountRequest(service, time.Now())
@@ -67,7 +73,7 @@
 	}
 	entry := r.g.table.Begin(p, r.route.Name, now)
 	call := LeafCall{Leaf: p.Leaf, Request: r.req, Deadline: r.end}
-	err := r.g.pool.Submit(func() { r.replies <- r.g.do(r.ctx, call, entry) })
+	err := r.g.pool.Submit(func() { r.replies <- r.g.do(r.calls, call, entry) })
 	if err != nil {
 		r.g.table.End(entry, replica.Abandoned, now)
 		return false
@@ -100,7 +106,7 @@
 			r.send("slow")
 		case <-end.C:
 			return r.expired()
-		case <-r.ctx.Done():
+		case <-r.caller.Done():
 			r.g.stats.left()
 			r.g.log.Decision("caller_left", oplog.Fields{"request": r.req.ID, "route": r.route.Name, "after_ms": time.Since(r.req.Arrived).Milliseconds()})
 			return Answer{Code: errcode.CallerLeft}
