Callers' connections are bounded below the descriptors; command line tests

Cause, by reading: callers and leafs share 4,100 descriptors; a flood of callers would leave none for leafs. Beyond limits.max_connections a connection is closed unread. Test: TestTooManyConnectionsAreClosedUnread.

--- /dev/null
+++ b/pkg/cli/node_test.go
@@ -0,0 +1,63 @@
+package cli
+
+import (
+	"bytes"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/spf13/cobra"
+	"github.com/stretchr/testify/require"
+)
+
+// execute runs a command with arguments and returns what it printed.
+func execute(cmd *cobra.Command, in string, args ...string) (string, error) {
+	var out bytes.Buffer
+	cmd.SetOut(&out)
+	cmd.SetErr(&out)
+	cmd.SetIn(strings.NewReader(in))
+	cmd.SetArgs(args)
+	cmd.SilenceUsage = true
+	err := cmd.Execute()
+	return out.String(), err
+}
+
+func TestCheckConfig(t *testing.T) {
+	good := "name: n\nzone: z\nlisten: {callers: '127.0.0.1:0', readiness: '127.0.0.1:0'}\nstore: {address: '127.0.0.1:1'}\n"
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(good), 0o644))
+	out, err := execute(CheckConfigCmd(), "", path)
+	require.NoError(t, err)
+	require.Contains(t, out, "IY0000")
+	require.NoError(t, os.WriteFile(path, []byte(good+"tick_ms: -5\n"), 0o644))
+	_, err = execute(CheckConfigCmd(), "", path)
+	require.ErrorContains(t, err, "tick_ms")
+	require.ErrorContains(t, err, "-5")
+}
+
+func TestExplainReadsStandardInput(t *testing.T) {
+	log := `{"time":"2026-05-04T15:39:29.300Z","event":"partial_answer","instance":"a","request":"r1","covered":18}` + "\n"
+	out, err := execute(ExplainCmd(), log, "--request", "r1")
+	require.NoError(t, err)
+	require.Equal(t, "15:39:29.300 a partial_answer covered=18\n", out)
+	_, err = execute(ExplainCmd(), log, "--request", "r2")
+	require.ErrorContains(t, err, "no line names")
+}
+
+// The template that the platform fills in gives settings that check.
+func TestDeployTemplateChecks(t *testing.T) {
+	raw, err := os.ReadFile("../../deploy/node.yaml.tmpl")
+	require.NoError(t, err)
+	filled := strings.NewReplacer(
+		"{{nodeName|json}}", `"front-a-1"`, "{{zone|json}}", `"a"`, "{{listenAddrs.front|json}}", `"127.0.0.1:1"`,
+		"{{listenAddrs.readiness|json}}", `"127.0.0.1:2"`, "{{listenAddrs.control|json}}", `"127.0.0.1:3"`,
+		"{{platform.address|json}}", `"127.0.0.1:4"`, "{{ip}}", "127.0.0.1", "{{bounds.graceS}}", "6",
+		"{{bounds.contactMs}}", "4000", "{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.budgetWindowS}}", "10",
+	).Replace(string(raw))
+	require.NotContains(t, filled, "{{")
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	require.NoError(t, os.WriteFile(path, []byte(filled), 0o644))
+	_, err = execute(CheckConfigCmd(), "", path)
+	require.NoError(t, err)
+}
--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -21,6 +21,10 @@
 type Server struct {
 	handler  http.Handler
 	listener *listener
+	// maxConns bounds the callers' connections, open counts them.
+	maxConns int64
+	open     atomic.Int64
+	turned   atomic.Int64
 	draining atomic.Bool
 
 	mu      sync.Mutex
@@ -39,13 +43,13 @@
 // headerSlack is what net/http adds to MaxHeaderBytes by itself.
 const headerSlack = 4096
 
-// New listens on addr.
-func New(addr string, handler http.Handler, limits routing.Limits) (*Server, error) {
+// New listens on addr. At most maxConns connections are open at once.
+func New(addr string, handler http.Handler, limits routing.Limits, maxConns int) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: Resilient(ln), limits: limits}
+	s := &Server{listener: Resilient(ln), limits: limits, maxConns: int64(maxConns)}
 	s.handler = s.drainAware(handler)
 	s.current = s.generation(limits)
 	return s, nil
@@ -71,12 +75,30 @@
 			IdleTimeout:       limits.IdleTimeout,
 			MaxHeaderBytes:    max(limits.HeaderBytes-headerSlack, 1),
 			ErrorLog:          discardLog,
+			ConnState:         s.count,
 		},
 	}
 	go func() { _ = g.server.Serve(g.inlet) }() // Serve ends with the inlet.
 	return g
 }
 
+// count keeps the number of open connections.
+func (s *Server) count(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		s.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		s.open.Add(-1)
+	}
+}
+
+// Open is how many callers' connections are open, Turned how many were closed
+// because there were too many.
+func (s *Server) Open() int64 { return s.open.Load() }
+
+// Turned is how many connections were closed because there were too many.
+func (s *Server) Turned() int64 { return s.turned.Load() }
+
 // SetLimits puts other limits in force for new connections.
 func (s *Server) SetLimits(limits routing.Limits) {
 	s.mu.Lock()
@@ -97,10 +119,25 @@
 		if err != nil {
 			return
 		}
+		if s.open.Load() >= s.maxConns {
+			s.turn(conn)
+			continue
+		}
 		s.hand(conn)
 	}
 }
 
+// turn closes a connection that is one too many, unread.
+//
+// Callers and leafs share the process's descriptors. If callers took them all, no
+// leaf could be connected to, and callers that are already being served would
+// lose their answers; one notices every shard unreachable during a flood. A
+// caller whose connection ends unread may try another instance.
+func (s *Server) turn(conn net.Conn) {
+	s.turned.Add(1)
+	_ = conn.Close() // Nothing was read or written.
+}
+
 // hand gives a connection to the current server. New limits may replace the
 // server meanwhile; then the next one takes it.
 func (s *Server) hand(conn net.Conn) {
--- a/pkg/front/front_test.go
+++ b/pkg/front/front_test.go
@@ -70,7 +70,7 @@
 
 // New limits hold for new connections; those that are open go on.
 func TestNewLimitsKeepOpenConnections(t *testing.T) {
-	s, err := New("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {}), limits(64<<10))
+	s, err := New("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {}), limits(64<<10), 100)
 	require.NoError(t, err)
 	go s.Run()
 	defer s.Stop(context.Background())
@@ -84,3 +84,30 @@
 	kept.CloseIdleConnections()
 	fresh.CloseIdleConnections()
 }
+
+// Symptom: every shard unreachable during a flood of callers. Sequence: callers
+// open connections without end. Cause: callers that take the descriptors that
+// leafs need. Beyond the limit a connection is closed unread, and once one ends
+// the next is served.
+func TestTooManyConnectionsAreClosedUnread(t *testing.T) {
+	s, err := New("127.0.0.1:0", http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), limits(64<<10), 2)
+	require.NoError(t, err)
+	go s.Run()
+	defer s.Stop(context.Background())
+	var kept []*http.Client
+	for range 2 {
+		c := &http.Client{Transport: &http.Transport{}}
+		require.Equal(t, 200, get(t, c, s.Addr(), 10))
+		kept = append(kept, c)
+	}
+	require.EqualValues(t, 2, s.Open())
+	fresh := &http.Client{Transport: &http.Transport{}}
+	_, err = fresh.Get("http://" + s.Addr())
+	require.Error(t, err)
+	require.GreaterOrEqual(t, s.Turned(), int64(1))
+	kept[0].CloseIdleConnections()
+	require.Eventually(t, func() bool { return s.Open() == 1 }, 10*time.Second, time.Millisecond)
+	require.Equal(t, 200, get(t, fresh, s.Addr(), 10))
+	fresh.CloseIdleConnections()
+	kept[1].CloseIdleConnections()
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -80,7 +80,7 @@
 		return nil, err
 	}
 	n.follower = discovery.NewFollower(adapter.Source(set.Store.Address, n.log), n, storeOptions(set), n.log)
-	if n.front, err = front.New(set.Listen.Callers, adapter.Door(n.gateway), limitsUnknown); err != nil {
+	if n.front, err = front.New(set.Listen.Callers, adapter.Door(n.gateway), limitsUnknown, set.Limits.MaxConnections); err != nil {
 		return nil, err
 	}
 	if n.status, err = n.newStatusServers(set, adapter.ReadyPath); err != nil {
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -92,6 +92,8 @@
 		return 0
 	})
 	gauge("node_requests_in_flight", func() float64 { return float64(n.gateway.InFlight()) })
+	gauge("node_caller_connections_open", func() float64 { return float64(n.front.Open()) })
+	gauge("node_caller_connections_turned", func() float64 { return float64(n.front.Turned()) })
 	gauge("node_leaf_connections_open", func() float64 { return float64(n.pool.Stats.OpenConns.Load()) })
 	gauge("node_leaf_dials", func() float64 { return float64(n.pool.Stats.Dials.Load()) })
 	gauge("node_leaf_dial_errors", func() float64 { return float64(n.pool.Stats.DialErrors.Load()) })
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -80,8 +80,9 @@
 
 // NodeLimits bounds what an instance holds at once.
 type NodeLimits struct {
-	MaxInFlight int `yaml:"max_in_flight"`
-	Workers     int `yaml:"workers"`
+	MaxInFlight    int `yaml:"max_in_flight"`
+	Workers        int `yaml:"workers"`
+	MaxConnections int `yaml:"max_connections"`
 }
 
 // NodeLog bounds the log.
@@ -160,7 +161,9 @@
 			LapseGraceMs:  2300,
 			MaxReplyBytes: 4 << 20,
 		},
-		Limits: NodeLimits{MaxInFlight: 400, Workers: 4096},
+		// A machine has 4,100 descriptors, 200 of them for files; 900 are
+		// left for leafs, the store and operators.
+		Limits: NodeLimits{MaxInFlight: 400, Workers: 4096, MaxConnections: 3000},
 		Log:    NodeLog{LinesPerSecond: 5, Burst: 20, Buffer: 512},
 		Tick:   50,
 		Reload: NodeReload{EveryMs: 2000},
@@ -209,6 +212,7 @@
 		positive("leafs.max_reply_bytes", n.Leafs.MaxReplyBytes),
 		positive("limits.max_in_flight", n.Limits.MaxInFlight),
 		positive("limits.workers", n.Limits.Workers),
+		positive("limits.max_connections", n.Limits.MaxConnections),
 		positive("log.lines_per_second", n.Log.LinesPerSecond),
 		positive("log.burst", n.Log.Burst),
 		positive("log.buffer", n.Log.Buffer),
