--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -30,8 +30,9 @@
 
 // Retry hints.
 const (
-	// retryUnreachable is the time after which a leaf that is down is probed
-	// again at the latest but one (replica.downMost is twice that).
+	// retryUnreachable is half of the longest time that a leaf which is down
+	// is left alone, and the time in which the balancer asks an instance
+	// once whether it is ready.
 	retryUnreachable = time.Second
 	// retryLate is the time in which a leaf's queue of a dozen requests
 	// drains, or a pause ends.
--- a/pkg/replica/budget.go
+++ b/pkg/replica/budget.go
@@ -104,3 +104,18 @@
 	}
 	return ratioPart*b.opts.Ratio*float64(first) + b.opts.Burst - float64(second)
 }
+
+// CountRequest counts one request for the service's budget of second
+// requests, whether it is sent or not.
+func (t *Table) CountRequest(serviceName string, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.service(serviceName).budget.Request(now)
+}
+
+// TakeSecond takes one second request out of the service's budget.
+func (t *Table) TakeSecond(serviceName string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.service(serviceName).budget.Take(now)
+}
--- /dev/null
+++ b/pkg/replica/calls.go
@@ -0,0 +1,98 @@
+package replica
+
+import "time"
+
+// Outcome is what became of a request to a leaf.
+type Outcome int
+
+const (
+	// Answered: a whole, valid success.
+	Answered Outcome = iota
+	// Failed: the leaf ran the request and reported a failure of its own.
+	Failed
+	// Refused: the leaf says that it did not run the request.
+	Refused
+	// Misdirected: another leaf has the address; not run.
+	Misdirected
+	// NotSent: no connection, or nothing was written; not run.
+	NotSent
+	// Broken: the connection ended, or what came was no valid answer; the
+	// request may have run.
+	Broken
+	// TimedOut: no answer within the time the leaf was given; it may have
+	// run.
+	TimedOut
+	// Abandoned: given up from this side; says nothing of the leaf.
+	Abandoned
+)
+
+// String names the outcome in logs and metrics.
+func (o Outcome) String() string {
+	return [...]string{"answered", "failed", "refused", "misdirected", "not_sent", "broken", "timed_out", "abandoned"}[o]
+}
+
+// NotRun reports whether the outcome is certain proof that the request did
+// not run and will not.
+func (o Outcome) NotRun() bool {
+	return o == Refused || o == Misdirected || o == NotSent
+}
+
+// Call is a request in flight at a leaf.
+type Call struct {
+	Leaf  Leaf
+	class string
+	start time.Time
+}
+
+// Begin counts a request as in flight at the placed leaf.
+func (t *Table) Begin(p Placement, className string, now time.Time) *Call {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.leafs[p.Leaf.ID]; r != nil {
+		r.begin(now)
+	}
+	return &Call{Leaf: p.Leaf, class: className, start: now}
+}
+
+// End takes over what became of a call. It reports whether the leaf, or its
+// zone, is now out of use and was not before.
+func (t *Table) End(c *Call, outcome Outcome, now time.Time) (wentDown bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.leafs[c.Leaf.ID]
+	if r == nil {
+		return false
+	}
+	r.end(c.start)
+	wasUp := r.failures < downAfter
+	t.learn(r, c, outcome, now)
+	return wasUp && r.failures >= downAfter
+}
+
+// learn updates what is known of r.
+func (t *Table) learn(r *row, c *Call, outcome Outcome, now time.Time) {
+	took := now.Sub(c.start)
+	switch outcome {
+	case Answered:
+		r.answered(now)
+		t.zoneReplied(r.Zone, now)
+		r.learnRefusal(false, now)
+		t.class(c.class).learn(took)
+		r.learnSlowness(float64(took)/float64(t.typical(c.class)), now)
+	case Failed, Refused:
+		r.answered(now)
+		t.zoneReplied(r.Zone, now)
+		r.learnRefusal(true, now)
+	case Misdirected:
+		r.failures = downAfter
+		r.downUntil = now.Add(downMost)
+		t.zoneReplied(r.Zone, now)
+	case NotSent:
+		r.fail(now)
+	case Broken:
+		r.learnRefusal(true, now)
+		r.fail(now)
+	case TimedOut:
+		r.learnSlowness(float64(took)/float64(t.typical(c.class)), now)
+	}
+}
--- a/pkg/replica/placement.go
+++ b/pkg/replica/placement.go
@@ -11,6 +11,9 @@
 	// crossZoneFactor is what a leaf in another zone must be faster by to be
 	// taken: bytes between zones are billed and take a round trip longer.
 	crossZoneFactor = 1.6
+	// lapsedFactor holds back leafs that vanished from the list around an
+	// outage: of those, the ones that crashed meanwhile are gone.
+	lapsedFactor = 2
 	// tieSpread spreads instances that see two equal leafs over both, as a
 	// part of the cost.
 	tieSpread = 0.1
@@ -112,7 +115,7 @@
 	base := float64(t.typical(className)) * r.slownessNow(now)
 	expected := time.Duration(base * float64(1+len(r.starts)))
 	p := Placement{Leaf: r.Leaf, Expected: expected}
-	if r.silentFor(now) > silentFloor+time.Duration(silentFactor*base) {
+	if r.silentTooLong(base, now) {
 		p.Suspect = true
 		p.Expected += suspectCost
 	}
@@ -122,109 +125,16 @@
 		cost *= crossZoneFactor
 	}
 	if r.lapsed {
-		cost *= 2
+		cost *= lapsedFactor
 	}
 	cost *= 1 + tieSpread*rand.Float64()
 	return p, time.Duration(cost)
 }
 
-// Outcome is what became of a request to a leaf.
-type Outcome int
-
-const (
-	// Answered: a whole, valid success.
-	Answered Outcome = iota
-	// Failed: the leaf ran the request and reported a failure of its own.
-	Failed
-	// Refused: the leaf says that it did not run the request.
-	Refused
-	// Misdirected: another leaf has the address; not run.
-	Misdirected
-	// NotSent: no connection, or nothing was written; not run.
-	NotSent
-	// Broken: the connection ended, or what came was no valid answer; the
-	// request may have run.
-	Broken
-	// TimedOut: no answer within the time the leaf was given; it may have
-	// run.
-	TimedOut
-	// Abandoned: given up from this side; says nothing of the leaf.
-	Abandoned
-)
-
-// String names the outcome in logs and metrics.
-func (o Outcome) String() string {
-	return [...]string{"answered", "failed", "refused", "misdirected", "not_sent", "broken", "timed_out", "abandoned"}[o]
-}
-
-// NotRun reports whether the outcome is certain proof that the request did
-// not run and will not.
-func (o Outcome) NotRun() bool {
-	return o == Refused || o == Misdirected || o == NotSent
-}
-
-// Call is a request in flight at a leaf.
-type Call struct {
-	Leaf  Leaf
-	class string
-	start time.Time
-}
-
-// Begin counts a request as in flight at the placed leaf.
-func (t *Table) Begin(p Placement, className string, now time.Time) *Call {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if r := t.leafs[p.Leaf.ID]; r != nil {
-		r.begin(now)
-	}
-	return &Call{Leaf: p.Leaf, class: className, start: now}
-}
-
-// End takes over what became of a call. It reports whether the leaf, or its
-// zone, is now out of use and was not before.
-func (t *Table) End(c *Call, outcome Outcome, now time.Time) (wentDown bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.leafs[c.Leaf.ID]
-	if r == nil {
-		return false
-	}
-	r.end(c.start)
-	wasUp := r.failures < downAfter
-	t.learn(r, c, outcome, now)
-	return wasUp && r.failures >= downAfter
-}
-
-// learn updates what is known of r.
-func (t *Table) learn(r *row, c *Call, outcome Outcome, now time.Time) {
-	took := now.Sub(c.start)
-	switch outcome {
-	case Answered:
-		r.answered(now)
-		t.zoneReplied(r.Zone, now)
-		r.learnRefusal(false, now)
-		t.class(c.class).learn(took)
-		r.learnSlowness(float64(took)/float64(t.typical(c.class)), now)
-	case Failed:
-		r.answered(now)
-		t.zoneReplied(r.Zone, now)
-		r.learnRefusal(true, now)
-	case Refused:
-		r.answered(now)
-		t.zoneReplied(r.Zone, now)
-		r.learnRefusal(true, now)
-	case Misdirected:
-		r.failures = downAfter
-		r.downUntil = now.Add(downMost)
-		t.zoneReplied(r.Zone, now)
-	case NotSent:
-		r.fail(now)
-	case Broken:
-		r.learnRefusal(true, now)
-		r.fail(now)
-	case TimedOut:
-		r.learnSlowness(float64(took)/float64(t.typical(c.class)), now)
-	}
+// silentTooLong reports whether the leaf has answered nothing for so long that
+// it is suspected; base is its usual time in ns.
+func (r *row) silentTooLong(base float64, now time.Time) bool {
+	return r.silentFor(now) > silentFloor+time.Duration(silentFactor*base)
 }
 
 // Suspect reports whether the leaf of a call is silent for longer than usual.
@@ -237,20 +147,5 @@
 	}
 	base := float64(t.typical(c.class)) * r.slownessNow(now)
 	z := t.zones[r.Zone]
-	return r.silentFor(now) > silentFloor+time.Duration(silentFactor*base) || (z != nil && z.suspected)
-}
-
-// CountRequest counts one request for the service's budget of second
-// requests, whether it is sent or not.
-func (t *Table) CountRequest(serviceName string, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.service(serviceName).budget.Request(now)
-}
-
-// TakeSecond takes one second request out of the service's budget.
-func (t *Table) TakeSecond(serviceName string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.service(serviceName).budget.Take(now)
+	return r.silentTooLong(base, now) || (z != nil && z.suspected)
 }
