--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -149,7 +149,7 @@
 	n.cancel = cancel
 	set := n.set.Load()
 	n.log.State("started", oplog.Fields{"callers": set.Listen.Callers, "store": set.Store.Address, "took_ms": time.Since(n.started).Milliseconds()})
-	n.status.start()
+	n.status.start(n.log)
 	go n.front.Run()
 	go n.follower.Run(ctx)
 	go n.runTicks(ctx)
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"net/http"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/indigoyoke/indigoyoke/pkg/front"
+	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
@@ -42,9 +44,14 @@
 	return s, nil
 }
 
-func (s *statusServers) start() {
+// start serves in the background. A server that ends leaves the balancer or the
+// operators without answers, so its end is logged.
+func (s *statusServers) start(log *oplog.Log) {
 	for _, srv := range s.all {
-		go func() { _ = srv.H.Run() }() // Ends with the process.
+		go func() {
+			err := srv.H.Run()
+			log.State("status_server_ended", oplog.Fields{"addr": srv.Addr(), "error": fmt.Sprint(err)})
+		}()
 	}
 }
 
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -97,7 +97,7 @@
 	EveryMs int `yaml:"every_ms"`
 }
 
-// NodeDeclared are bounds that the platform declares to its tenants.
+// NodeDeclared are bounds that the platform declares to what runs on it.
 type NodeDeclared struct {
 	// ContactMs is how soon after a disturbance of the store an instance must
 	// have caught up.
@@ -161,8 +161,8 @@
 			LapseGraceMs:  2300,
 			MaxReplyBytes: 4 << 20,
 		},
-		// A machine has 4,100 descriptors, 200 of them for files; 900 are
-		// left for leafs, the store and operators.
+		// An instance may open 4,100 descriptors, 200 of them for files; 900
+		// are left for leafs, the store and operators.
 		Limits: NodeLimits{MaxInFlight: 400, Workers: 4096, MaxConnections: 3000},
 		Log:    NodeLog{LinesPerSecond: 5, Burst: 20, Buffer: 512},
 		Tick:   50,
