--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -20,7 +20,7 @@
 // limits that they began with.
 type Server struct {
 	handler  http.Handler
-	listener *listener
+	listener net.Listener
 	// maxConns bounds the callers' connections, open counts them.
 	maxConns int64
 	open     atomic.Int64
@@ -199,7 +199,7 @@
 // closed. With all descriptors in use accept fails; a server that ends on that
 // takes the whole process out of service for a shortage that passes within
 // seconds.
-func Resilient(ln net.Listener) *listener {
+func Resilient(ln net.Listener) net.Listener {
 	return &listener{Listener: ln, closed: make(chan struct{})}
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -110,7 +110,7 @@
 	splitter *routing.Splitter
 	pool     *ants.Pool
 	log      *oplog.Log
-	stats    *stats
+	stats    *Stats
 	config   atomic.Pointer[routing.Config]
 	// configured is closed with the first configuration.
 	configured chan struct{}
@@ -121,7 +121,7 @@
 }
 
 // New returns a gateway without a configuration: it refuses until one is set.
-func New(opts Options, table *replica.Table, leafs Leafs, log *oplog.Log, stats *stats) (*Gateway, error) {
+func New(opts Options, table *replica.Table, leafs Leafs, log *oplog.Log, stats *Stats) (*Gateway, error) {
 	pool, err := ants.NewPool(opts.Workers, ants.WithNonblocking(true))
 	if err != nil {
 		return nil, err
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -170,7 +170,7 @@
 	a.Body = r.g.leafs.MergeParts(bodies, r.route.TopK)
 	if a.Missing > 0 {
 		r.logLeftOut("partial_answer", errcode.OK)
-		r.g.stats.partial(r.route)
+		r.g.stats.partial()
 	}
 	return a
 }
--- a/pkg/gateway/stats.go
+++ b/pkg/gateway/stats.go
@@ -11,37 +11,37 @@
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
 
-// stats are the gateway's counters and latency histograms
+// Stats are the gateway's counters and latency histograms
 // (docs/METRICS.md). Labels have few values, so that no route or leaf name
 // grows them.
-type stats struct {
+type Stats struct {
 	set *metrics.Set
 }
 
 // NewStats registers the gateway's metrics in set.
-func NewStats(set *metrics.Set) *stats { return &stats{set: set} }
+func NewStats(set *metrics.Set) *Stats { return &Stats{set: set} }
 
-func (s *stats) answered(route *routing.Route, code errcode.Code, took time.Duration) {
+func (s *Stats) answered(route *routing.Route, code errcode.Code, took time.Duration) {
 	kind := route.Kind.String()
 	s.set.GetOrCreateCounter(fmt.Sprintf(`gateway_answers_total{kind=%q,code=%q}`, kind, code.String())).Inc()
 	s.set.GetOrCreateHistogram(fmt.Sprintf(`gateway_answer_seconds{kind=%q}`, kind)).Update(took.Seconds())
 }
 
-func (s *stats) refused(code errcode.Code) {
+func (s *Stats) refused(code errcode.Code) {
 	s.set.GetOrCreateCounter(fmt.Sprintf(`gateway_refusals_total{code=%q}`, code.String())).Inc()
 }
 
-func (s *stats) partial(route *routing.Route) {
+func (s *Stats) partial() {
 	s.set.GetOrCreateCounter(`gateway_partial_answers_total`).Inc()
 }
 
-func (s *stats) second(why string) {
+func (s *Stats) second(why string) {
 	s.set.GetOrCreateCounter(fmt.Sprintf(`gateway_second_requests_total{why=%q}`, why)).Inc()
 }
 
-func (s *stats) left() { s.set.GetOrCreateCounter(`gateway_callers_left_total`).Inc() }
+func (s *Stats) left() { s.set.GetOrCreateCounter(`gateway_callers_left_total`).Inc() }
 
-func (s *stats) leaf(outcome replica.Outcome, took time.Duration) {
+func (s *Stats) leaf(outcome replica.Outcome, took time.Duration) {
 	s.set.GetOrCreateCounter(fmt.Sprintf(`gateway_leaf_calls_total{outcome=%q}`, outcome.String())).Inc()
 	if outcome == replica.Answered {
 		s.set.GetOrCreateHistogram(`gateway_leaf_reply_seconds`).Update(took.Seconds())
--- a/pkg/leafconn/pool.go
+++ b/pkg/leafconn/pool.go
@@ -36,13 +36,16 @@
 
 // Stats count what the pool did.
 type Stats struct {
-	Dials       atomic.Int64
-	DialErrors  atomic.Int64
-	Reuses      atomic.Int64
-	StaleDrops  atomic.Int64
-	StrayDrops  atomic.Int64
-	OpenConns   atomic.Int64
-	ClosedByEnd atomic.Int64
+	// Dials counts new connections, DialErrors those that failed, Reuses
+	// requests on kept connections.
+	Dials      atomic.Int64
+	DialErrors atomic.Int64
+	Reuses     atomic.Int64
+	// StrayDrops counts connections dropped for bytes or replies that belong
+	// to no request, or found closed.
+	StrayDrops atomic.Int64
+	// OpenConns is how many connections are open.
+	OpenConns atomic.Int64
 }
 
 // Pool holds the idle connections of all leafs, by leaf ID: a restarted leaf
@@ -61,7 +64,6 @@
 	net.Conn
 	leaf      string
 	br        *bufio.Reader
-	reused    bool
 	idleUntil time.Time
 	// announced is the idle time that the leaf announced; zero: none.
 	announced time.Duration
@@ -94,7 +96,6 @@
 			p.close(c)
 			continue
 		}
-		c.reused = true
 		p.Stats.Reuses.Add(1)
 		return c, nil
 	}
--- a/pkg/leafconn/roundtrip.go
+++ b/pkg/leafconn/roundtrip.go
@@ -35,8 +35,6 @@
 	Status int
 	Header http.Header
 	Body   []byte
-	// Reused: the request went out on a kept connection.
-	Reused bool
 }
 
 // errBodyTooLarge bounds what a leaf can make this process hold.
@@ -84,7 +82,6 @@
 	if err != nil {
 		return nil, p.fate(ctx, err), fmt.Errorf("read reply: %w", err)
 	}
-	reply.Reused = c.reused
 	if err := valid(reply); err != nil {
 		p.Stats.StrayDrops.Add(1)
 		return nil, Lost, err
--- a/pkg/oplog/oplog.go
+++ b/pkg/oplog/oplog.go
@@ -11,7 +11,6 @@
 import (
 	"io"
 	"maps"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -153,8 +152,3 @@
 	case <-timeout:
 	}
 }
-
-// Sorted lists names in order, for fields that hold sets.
-func Sorted(names map[string]string) []string {
-	return slices.Sorted(maps.Keys(names))
-}
--- a/pkg/replica/membership.go
+++ b/pkg/replica/membership.go
@@ -55,7 +55,6 @@
 	}
 	leaf.Draining = leaf.Draining || r.Draining
 	r.Leaf = leaf
-	r.coldUntil = now.Add(leaf.Cold)
 	t.attach(r)
 	return change
 }
--- a/pkg/replica/row.go
+++ b/pkg/replica/row.go
@@ -37,8 +37,7 @@
 type row struct {
 	Leaf
 	// lapsed: vanished from the list around an outage of the store.
-	lapsed    bool
-	coldUntil time.Time
+	lapsed bool
 
 	// starts are when the requests in flight were sent, oldest first.
 	starts []time.Time
@@ -61,7 +60,6 @@
 	r := &row{Leaf: leaf, slowness: 1, slownessAt: now, refusalsAt: now}
 	if leaf.Cold > 0 {
 		r.slowness = coldSlowness
-		r.coldUntil = now.Add(leaf.Cold)
 	}
 	return r
 }
