--- a/cmd/yoke/main.go
+++ b/cmd/yoke/main.go
@@ -18,7 +18,7 @@
 )
 
 func main() {
-	root := &cobra.Command{Use: "yoke", Short: "indigoyoke entry instance", SilenceUsage: true}
+	root := &cobra.Command{Use: "yoke", Short: "indigoyoke entry instance", SilenceUsage: true, Version: cli.Version()}
 	root.AddCommand(serveCmd(), cli.NodeCmd(), cli.CheckConfigCmd())
 	if err := root.Execute(); err != nil {
 		os.Exit(1)
--- a/cmd/yokectl/main.go
+++ b/cmd/yokectl/main.go
@@ -13,7 +13,7 @@
 )
 
 func main() {
-	root := &cobra.Command{Use: "yokectl", Short: "indigoyoke operator and bench tool", SilenceUsage: true}
+	root := &cobra.Command{Use: "yokectl", Short: "indigoyoke operator and bench tool", SilenceUsage: true, Version: cli.Version()}
 	root.AddCommand(
 		cli.BackendCmd(),
 		cli.PlatformCmd(),
--- a/pkg/cli/node_test.go
+++ b/pkg/cli/node_test.go
@@ -61,3 +61,5 @@
 	_, err = execute(CheckConfigCmd(), "", path)
 	require.NoError(t, err)
 }
+
+func TestVersionIsKnown(t *testing.T) { require.NotEmpty(t, Version()) }
