--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -99,7 +99,7 @@
 	started := time.Now()
 	reply := g.leafs.Do(ctx, call)
 	now := time.Now()
-	down := g.table.End(entry, reply.Outcome, now)
+	turn := g.table.End(entry, reply.Outcome, now)
 	g.stats.leaf(reply.Outcome, now.Sub(started))
 	if reply.Outcome != replica.Answered && reply.Outcome != replica.Abandoned {
 		g.log.Decision("leaf_call_failed", oplog.Fields{
@@ -107,8 +107,11 @@
 			"outcome": reply.Outcome.String(), "status": reply.Status, "took_ms": now.Sub(started).Milliseconds(), "error": errText(reply.Err),
 		})
 	}
-	if down {
+	switch turn {
+	case replica.WentDown:
 		g.log.State("leaf_down", oplog.Fields{"leaf": call.Leaf.ID, "service": call.Leaf.Service, "leaf_zone": call.Leaf.Zone, "error": errText(reply.Err)})
+	case replica.CameBack:
+		g.log.State("leaf_up", oplog.Fields{"leaf": call.Leaf.ID, "service": call.Leaf.Service, "leaf_zone": call.Leaf.Zone})
 	}
 	return reply
 }
--- a/pkg/replica/calls.go
+++ b/pkg/replica/calls.go
@@ -54,19 +54,37 @@
 	return &Call{Leaf: p.Leaf, class: className, start: now}
 }
 
-// End takes over what became of a call. It reports whether the leaf, or its
-// zone, is now out of use and was not before.
-func (t *Table) End(c *Call, outcome Outcome, now time.Time) (wentDown bool) {
+// Turn says whether a call's outcome changed what is believed of its leaf.
+type Turn int
+
+const (
+	// Same: up or down as before.
+	Same Turn = iota
+	// WentDown: the leaf is out of use until it is probed.
+	WentDown
+	// CameBack: a leaf that was down has answered.
+	CameBack
+)
+
+// End takes over what became of a call.
+func (t *Table) End(c *Call, outcome Outcome, now time.Time) Turn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.leafs[c.Leaf.ID]
 	if r == nil {
-		return false
+		return Same
 	}
 	r.end(c.start)
 	wasUp := r.failures < downAfter
 	t.learn(r, c, outcome, now)
-	return wasUp && r.failures >= downAfter
+	isUp := r.failures < downAfter
+	switch {
+	case wasUp && !isUp:
+		return WentDown
+	case isUp && !wasUp:
+		return CameBack
+	}
+	return Same
 }
 
 // learn updates what is known of r.
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -142,15 +142,14 @@
 // A leaf that is down is probed by one request at a time.
 func TestDownLeafIsProbedByOneRequest(t *testing.T) {
 	table := testTable(leaf("a", "z1"))
-	for range downAfter {
-		table.End(table.Begin(Placement{Leaf: leaf("a", "z1")}, "c", t0), NotSent, t0)
-	}
+	require.Equal(t, Same, table.End(table.Begin(Placement{Leaf: leaf("a", "z1")}, "c", t0), NotSent, t0))
+	require.Equal(t, WentDown, table.End(table.Begin(Placement{Leaf: leaf("a", "z1")}, "c", t0), NotSent, t0))
 	_, v := table.Place("s", "c", nil, at(100))
 	require.Equal(t, AllDown, v)
 	probe := table.Begin(place(t, table, at(250)), "c", at(250))
 	_, v = table.Place("s", "c", nil, at(251))
 	require.Equal(t, AllDown, v)
-	table.End(probe, Answered, at(260))
+	require.Equal(t, CameBack, table.End(probe, Answered, at(260)))
 	require.Equal(t, "a", place(t, table, at(261)).Leaf.ID)
 }
 
