One line each for a caller that left and a second request; one rule of when a query aims at its target

Both kinds of request wrote the same two log lines and counters, and the fan-out asked the same question in three places. The line second_request now names the leaf's service for both kinds (it said shard for one of them; the value is the same). Decisions are unchanged.

--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -115,7 +115,7 @@
 // late lists the shards whose reply is expected after the answer is given,
 // latest first.
 func (q *Query) late(found []placed, now time.Time) []placed {
-	if !q.opts.PartialAnswers || q.route.TargetLatency <= 0 {
+	if !q.aimed() {
 		return nil
 	}
 	left := q.softEnd.Sub(now)
@@ -139,7 +139,7 @@
 // the shards have one leaf, each at 105 % of what it can take: the mean stays
 // below the target while half of all queries come late.
 func (q *Query) risk(found []placed, now time.Time) float64 {
-	if !q.opts.PartialAnswers || q.route.TargetLatency <= 0 {
+	if !q.aimed() {
 		return 0
 	}
 	left := float64(q.softEnd.Sub(now))
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -113,7 +113,7 @@
 		need:   Need(len(route.Shards), route.MinShare),
 	}
 	q.softEnd = hardEnd
-	if opts.PartialAnswers && route.TargetLatency > 0 {
+	if q.aimed() {
 		q.softEnd = start.Add(route.TargetLatency - opts.AnswerMargin)
 	}
 	if q.softEnd.After(hardEnd) {
@@ -122,6 +122,10 @@
 	return q
 }
 
+// aimed reports whether the answer is given at the target latency, rather than
+// when every shard is in.
+func (q *Query) aimed() bool { return q.opts.PartialAnswers && q.route.TargetLatency > 0 }
+
 // Need is how many of n shards an answer must cover for the least share.
 func Need(n int, minShare float64) int {
 	const rounding = 1e-9
--- a/pkg/fanout/progress.go
+++ b/pkg/fanout/progress.go
@@ -28,7 +28,7 @@
 // stays late for seconds after a pause of a quarter second.
 func (q *Query) usefulUntil(now time.Time) time.Time {
 	end := q.hardEnd
-	if !q.opts.PartialAnswers || q.route.TargetLatency <= 0 {
+	if !q.aimed() {
 		return end
 	}
 	useful := q.start.Add(time.Duration(q.opts.UsefulTarget * float64(q.route.TargetLatency)))
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -239,6 +239,24 @@
 	return Answer{Code: code, RetryAfter: retryAfter}
 }
 
+// callerLeft ends a request whose caller has closed its connection.
+func (g *Gateway) callerLeft(req *Request, route *routing.Route) Answer {
+	g.stats.left()
+	g.log.Decision("caller_left", oplog.Fields{
+		"request": req.ID, "route": route.Name, "after_ms": time.Since(req.Arrived).Milliseconds(),
+	})
+	return Answer{Code: errcode.CallerLeft}
+}
+
+// noteSecond records that another leaf of a service, or shard, is asked.
+func (g *Gateway) noteSecond(req *Request, route *routing.Route, leaf replica.Leaf, why string) {
+	g.stats.second(why)
+	g.log.Decision("second_request", oplog.Fields{
+		"request": req.ID, "route": route.Name, "service": leaf.Service, "leaf": leaf.ID,
+		"why": why, "after_ms": time.Since(req.Arrived).Milliseconds(),
+	})
+}
+
 // version is the version of the configuration in force, 0 without one.
 func (g *Gateway) version() int64 {
 	if c := g.config.Load(); c != nil {
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -75,11 +75,7 @@
 func (r *gathering) send(sends []fanout.Send) {
 	for _, s := range sends {
 		if s.Reason != fanout.First {
-			r.g.stats.second(s.Reason.String())
-			r.g.log.Decision("second_request", oplog.Fields{
-				"request": r.req.ID, "route": r.route.Name, "shard": r.route.Shards[s.Shard], "leaf": s.Call.Leaf.ID,
-				"why": s.Reason.String(), "after_ms": time.Since(r.req.Arrived).Milliseconds(),
-			})
+			r.g.noteSecond(r.req, r.route, s.Call.Leaf, s.Reason.String())
 		}
 		call := LeafCall{Leaf: s.Call.Leaf, Request: r.req, Deadline: s.Deadline}
 		task := func() {
@@ -140,9 +136,7 @@
 			r.send(r.query.Tick(time.Now()))
 		case <-r.caller.Done():
 			r.endAll()
-			r.g.stats.left()
-			r.g.log.Decision("caller_left", oplog.Fields{"request": r.req.ID, "route": r.route.Name, "after_ms": time.Since(r.req.Arrived).Milliseconds()})
-			return Answer{Code: errcode.CallerLeft}
+			return r.g.callerLeft(r.req, r.route)
 		}
 	}
 }
--- a/pkg/gateway/single.go
+++ b/pkg/gateway/single.go
@@ -81,11 +81,7 @@
 	r.tried = append(r.tried, p.Leaf.ID)
 	r.open++
 	if len(r.tried) > 1 {
-		r.g.stats.second(why)
-		r.g.log.Decision("second_request", oplog.Fields{
-			"request": r.req.ID, "route": r.route.Name, "service": r.service, "leaf": p.Leaf.ID,
-			"why": why, "after_ms": time.Since(r.req.Arrived).Milliseconds(),
-		})
+		r.g.noteSecond(r.req, r.route, p.Leaf, why)
 	}
 	return true
 }
@@ -107,9 +103,7 @@
 		case <-end.C:
 			return r.expired()
 		case <-r.caller.Done():
-			r.g.stats.left()
-			r.g.log.Decision("caller_left", oplog.Fields{"request": r.req.ID, "route": r.route.Name, "after_ms": time.Since(r.req.Arrived).Milliseconds()})
-			return Answer{Code: errcode.CallerLeft}
+			return r.g.callerLeft(r.req, r.route)
 		}
 	}
 }
--- a/pkg/replica/membership.go
+++ b/pkg/replica/membership.go
@@ -99,8 +99,7 @@
 	}
 }
 
-// StoreReturned says that the store answers again after an outage of the
-// given length.
+// StoreReturned says that the store answers again after an outage.
 //
 // While the store is away, leafs cannot renew their entries, so healthy leafs
 // vanish from the list and reappear within about two seconds of its return.
