A malformed deadline, idle time or unreadable settings file has its log line

Cause: three values that could not be read fell back to a default in silence: a caller's deadline, a leaf's announced idle time, the settings file's state. Change: each has a bounded line with the value and what is used instead.

--- a/pkg/leafconn/leafconn_test.go
+++ b/pkg/leafconn/leafconn_test.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 )
 
 // serve runs a raw leaf: f gets each connection with the requests on it.
@@ -44,7 +46,8 @@
 }
 
 func pool() *Pool {
-	return New(Options{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxBody: 1000})
+	log := oplog.New(io.Discard, nil, oplog.Options{LinesPerSecond: 5, Burst: 20, Buffer: 64})
+	return New(Options{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxBody: 1000, Log: log})
 }
 
 func request() *http.Request {
@@ -218,8 +221,15 @@
 func TestAnnouncedIdle(t *testing.T) {
 	for header, want := range map[string]time.Duration{
 		"": 0, "timeout=5": 5 * time.Second, "max=3, timeout=12": 12 * time.Second,
-		"Timeout = 2": 2 * time.Second, "timeout=x": 0, "timeout=-1": 0, "timeout": 0,
+		"Timeout = 2": 2 * time.Second, "timeout": 0, "timeout=0": 0,
 	} {
-		require.Equal(t, want, announcedIdle(header), header)
+		got, err := announcedIdle(header)
+		require.NoError(t, err, header)
+		require.Equal(t, want, got, header)
+	}
+	for _, header := range []string{"timeout=x", "timeout=-1"} {
+		got, err := announcedIdle(header)
+		require.Error(t, err, header)
+		require.Zero(t, got, header)
 	}
 }
--- a/pkg/leafconn/pool.go
+++ b/pkg/leafconn/pool.go
@@ -12,6 +12,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 )
 
 // Options bound the connections.
@@ -23,6 +25,8 @@
 	IdleTimeout time.Duration
 	// MaxBody bounds a reply's body in bytes.
 	MaxBody int64
+	// Log takes what is malformed in replies.
+	Log *oplog.Log
 }
 
 // idleMargin is kept back from the idle time that a leaf announces, so that a
--- a/pkg/leafconn/roundtrip.go
+++ b/pkg/leafconn/roundtrip.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 )
 
 // Fate is what is certain about a request that brought no reply.
@@ -128,7 +130,12 @@
 		if int64(len(body)) > p.opts.MaxBody {
 			return nil, false, errBodyTooLarge
 		}
-		c.announced = announcedIdle(resp.Header.Get("Keep-Alive"))
+		c.announced, err = announcedIdle(resp.Header.Get("Keep-Alive"))
+		if err != nil {
+			p.opts.Log.Decision("leaf_keep_alive_malformed", oplog.Fields{
+				"leaf": c.leaf, "error": err.Error(), "used_instead_ms": p.opts.IdleTimeout.Milliseconds(),
+			})
+		}
 		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 		keep := framed && !resp.Close
 		return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, keep, nil
@@ -136,17 +143,17 @@
 }
 
 // announcedIdle reads the idle time in a Keep-Alive header, 0 for none.
-func announcedIdle(header string) time.Duration {
+func announcedIdle(header string) (time.Duration, error) {
 	for _, field := range strings.Split(header, ",") {
 		name, value, ok := strings.Cut(strings.TrimSpace(field), "=")
 		if !ok || !strings.EqualFold(strings.TrimSpace(name), "timeout") {
 			continue
 		}
 		seconds, err := strconv.Atoi(strings.TrimSpace(value))
-		if err != nil || seconds <= 0 {
-			return 0
+		if err != nil || seconds < 0 {
+			return 0, fmt.Errorf("idle time %q is not a number of seconds", value)
 		}
-		return time.Duration(seconds) * time.Second
+		return time.Duration(seconds) * time.Second, nil
 	}
-	return 0
+	return 0, nil
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -31,7 +31,7 @@
 	ReadyPath string
 	Source    func(storeAddress string, log *oplog.Log) discovery.Source
 	Leafs     func(pool *leafconn.Pool) gateway.Leafs
-	Door      func(g *gateway.Gateway) http.Handler
+	Door      func(g *gateway.Gateway, log *oplog.Log) http.Handler
 }
 
 // logDrain is how long buffered log lines may take to be written at the end.
@@ -73,6 +73,7 @@
 		DialTimeout: settings.Duration(set.Leafs.DialTimeoutMs),
 		IdleTimeout: settings.Duration(set.Leafs.IdleMs),
 		MaxBody:     int64(set.Leafs.MaxReplyBytes),
+		Log:         n.log,
 	})
 	n.table = replica.NewTable(tableOptions(set))
 	n.leafs = adapter.Leafs(n.pool)
@@ -80,7 +81,7 @@
 		return nil, err
 	}
 	n.follower = discovery.NewFollower(adapter.Source(set.Store.Address, n.log), n, storeOptions(set), n.log)
-	if n.front, err = front.New(set.Listen.Callers, adapter.Door(n.gateway), limitsUnknown, set.Limits.MaxConnections); err != nil {
+	if n.front, err = front.New(set.Listen.Callers, adapter.Door(n.gateway, n.log), limitsUnknown, set.Limits.MaxConnections); err != nil {
 		return nil, err
 	}
 	if n.status, err = n.newStatusServers(set, adapter.ReadyPath); err != nil {
@@ -180,7 +181,7 @@
 // waitForStop reloads on SIGHUP, and when the settings file has changed, until
 // a stop signal comes.
 func (n *Node) waitForStop(signals <-chan os.Signal) {
-	changes := newFileWatch(n.path)
+	changes := newFileWatch(n.path, n.log)
 	poll := time.NewTicker(settings.Duration(n.set.Load().Reload.EveryMs))
 	defer poll.Stop()
 	for {
--- a/pkg/node/reload.go
+++ b/pkg/node/reload.go
@@ -14,19 +14,21 @@
 	path string
 	time time.Time
 	size int64
+	log  *oplog.Log
 }
 
-func newFileWatch(path string) *fileWatch {
-	w := &fileWatch{path: path}
+func newFileWatch(path string, log *oplog.Log) *fileWatch {
+	w := &fileWatch{path: path, log: log}
 	w.changed()
 	return w
 }
 
-// changed reports whether the file differs from the last call.
+// changed reports whether the file differs from the last call. A file that cannot
+// be looked at, as while it is being replaced, is unchanged until the next call.
 func (w *fileWatch) changed() bool {
 	info, err := os.Stat(w.path)
 	if err != nil {
-		// Missing while it is being replaced: looked at again at the next poll.
+		w.log.Decision("settings_file_unreadable", oplog.Fields{"path": w.path, "error": err.Error()})
 		return false
 	}
 	same := info.ModTime().Equal(w.time) && info.Size() == w.size
