Room at a leaf is learned from new connections that it ends

Cause: leafs share their connection limit over all instances and count lost connections for seconds.

Change: a new connection that ends without a reply is an outcome of its own (crowded). With others in flight at the leaf, as many as those are taken for the room there is, one more after each 2 s; with none, the leaf is left alone and probed as one that is down.

--- a/pkg/leafconn/pool.go
+++ b/pkg/leafconn/pool.go
@@ -69,6 +69,8 @@
 	leaf      string
 	br        *bufio.Reader
 	idleUntil time.Time
+	// proven: it has carried the head of a reply.
+	proven bool
 	// announced is the idle time that the leaf announced; zero: none.
 	announced time.Duration
 }
--- a/pkg/replica/calls.go
+++ b/pkg/replica/calls.go
@@ -22,6 +22,9 @@
 	// TimedOut: no answer within the time the leaf was given; it may have
 	// run.
 	TimedOut
+	// Crowded: a new connection ended before it brought a reply, as leafs end
+	// those beyond their limit; the request may have run.
+	Crowded
 	// Abandoned: given up from this side; the leaf takes at least as long as
 	// was waited.
 	Abandoned
@@ -29,7 +32,7 @@
 
 // String names the outcome in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"answered", "failed", "refused", "misdirected", "not_sent", "broken", "timed_out", "abandoned"}[o]
+	return [...]string{"answered", "failed", "refused", "misdirected", "not_sent", "broken", "timed_out", "crowded", "abandoned"}[o]
 }
 
 // NotRun reports whether the outcome is certain proof that the request did
@@ -52,7 +55,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.leafs[p.Leaf.ID]; r != nil {
-		if len(r.starts) >= t.connLimit(&r.Leaf) {
+		if len(r.starts) >= r.roomNow(t.connLimit(&r.Leaf), now) {
 			return nil
 		}
 		r.begin(now)
@@ -120,6 +123,10 @@
 		r.unreached = 0
 		r.learnRefusal(true, now)
 		r.fail(now)
+	case Crowded:
+		r.unreached = 0
+		r.learnRefusal(true, now)
+		r.learnCrowded(now)
 	case TimedOut:
 		r.learnSlowness(float64(took)/float64(t.typical(c.class)), now)
 	case Abandoned:
--- a/pkg/replica/placement.go
+++ b/pkg/replica/placement.go
@@ -71,7 +71,7 @@
 			verdict = worse(verdict, AllDown)
 			continue
 		}
-		if len(r.starts) >= t.connLimit(&r.Leaf) {
+		if len(r.starts) >= r.roomNow(t.connLimit(&r.Leaf), now) {
 			verdict = worse(verdict, AllBusy)
 			continue
 		}
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -309,6 +309,35 @@
 	require.Empty(t, table.SuspectZones(at(400)))
 }
 
+// Symptom: thousands of connections are reset after a restart, and the budget of
+// second requests is used up. Sequence: a leaf has room for one request of this
+// instance; each further connection is ended. Cause: the instance knew no limit
+// but its own part of the published one, of which others hold more than theirs.
+func TestRoomAtALeafIsLearned(t *testing.T) {
+	table := testTable(leaf("a", "z1"))
+	held := table.Begin(place(t, table, t0), "c", t0)
+	table.End(table.Begin(place(t, table, t0), "c", t0), Crowded, at(1))
+	_, v := table.Place("s", "c", nil, at(2))
+	require.Equal(t, AllBusy, v, "what is in flight is all there is room for")
+	table.End(held, Answered, at(20))
+	table.Begin(place(t, table, at(21)), "c", at(21))
+	_, v = table.Place("s", "c", nil, at(21))
+	require.Equal(t, AllBusy, v)
+	place(t, table, at(2002))
+}
+
+// A leaf that ends the only connection is left alone like one that is down, and
+// probed.
+func TestLeafWithoutRoomIsLeftAlone(t *testing.T) {
+	table := testTable(leaf("a", "z1"))
+	for range downAfter {
+		table.End(table.Begin(place(t, table, t0), "c", t0), Crowded, t0)
+	}
+	_, v := table.Place("s", "c", nil, at(1))
+	require.Equal(t, AllDown, v)
+	place(t, table, at(300))
+}
+
 // One leaf's pause never means its zone.
 func TestOneSilentLeafIsNoSilentZone(t *testing.T) {
 	table := testTable(leaf("a", "z2"), leaf("b", "z2"), leaf("c", "z2"), leaf("d", "z2"))
--- a/pkg/replica/row.go
+++ b/pkg/replica/row.go
@@ -60,10 +60,15 @@
 	slownessAt time.Time
 	halfLife   time.Duration
 	// lateSince is the first failure for lack of time since the last reply.
-	lateSince time.Time
+	lateSince  time.Time
 	refusals   float64
 	refusalsAt time.Time
 
+	// room is how many requests the leaf's connection limit seemed to allow
+	// this instance at roomAt; zero: no limit was met.
+	room   int
+	roomAt time.Time
+
 	// failures counts failed connections in a row, and unreached how many of
 	// the last ones could not be opened.
 	failures  int
@@ -170,6 +175,35 @@
 	}
 }
 
+// roomGrowth is how soon one more request than the leaf had room for is tried:
+// leafs count a lost connection for as long as they let one idle, some seconds.
+const roomGrowth = 2 * time.Second
+
+// learnCrowded takes over that the leaf ended a new connection.
+//
+// A leaf accepts connections up to a limit that all instances share, and fewer
+// while its queue is long; how many instances there are is published nowhere.
+// Without a limit of its own an instance goes on opening connections that are
+// reset, and each costs a second request; one notices thousands of resets after a
+// restart or on a grown fleet. So what is in flight is taken for the instance's
+// part, which grows again with time.
+func (r *row) learnCrowded(now time.Time) {
+	if len(r.starts) == 0 {
+		r.fail(now)
+		return
+	}
+	r.room = len(r.starts)
+	r.roomAt = now
+}
+
+// roomNow is how many requests the leaf has room for, at most limit.
+func (r *row) roomNow(limit int, now time.Time) int {
+	if r.room == 0 {
+		return limit
+	}
+	return min(limit, r.room+int(now.Sub(r.roomAt)/roomGrowth))
+}
+
 // answered records that the leaf is reachable.
 func (r *row) answered(now time.Time) {
 	r.failures = 0
