--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -60,9 +60,8 @@
 	refusal.Late = len(late)
 	refusal.Risk = q.risk(found, now)
 	refusal.Overloaded = refusal.Late > refusal.Spare || refusal.Risk > float64(refusal.Spare)+q.opts.SpareRisk
-	lasted := q.table.Refusing(q.route.Name, refusal.Overloaded, now)
 	if refusal.Overloaded && !q.table.AdmitProbe(q.route.Name, now) {
-		refusal.RetryAfter = min(max(lasted, retryLate), retryUnreachable)
+		refusal.RetryAfter = retryLate
 		return nil, &refusal
 	}
 	for _, p := range late[:min(refusal.Late, refusal.Spare)] {
--- a/pkg/replica/class.go
+++ b/pkg/replica/class.go
@@ -34,9 +34,6 @@
 type class struct {
 	typical time.Duration
 	first   []time.Duration
-	// refusingSince is when requests of the class began to be refused for
-	// load; zero: they are admitted.
-	refusingSince time.Time
 	// probedAt is when a request was last admitted as a probe.
 	probedAt time.Time
 }
@@ -99,22 +96,6 @@
 	return true
 }
 
-// Refusing notes whether a request of the class is refused for load, and returns
-// for how long that has gone on.
-func (t *Table) Refusing(className string, refused bool, now time.Time) time.Duration {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	c := t.class(className)
-	if !refused {
-		c.refusingSince = time.Time{}
-		return 0
-	}
-	if c.refusingSince.IsZero() {
-		c.refusingSince = now
-	}
-	return now.Sub(c.refusingSince)
-}
-
 // class returns the row of a class, made on first use.
 func (t *Table) class(name string) *class {
 	c := t.classes[name]
