Admission by the chance to cover enough shards

Cause: a query was refused when it was expected to miss two shards more than it may. Two shards are a chance of 0.14 on a route that may miss none, 0.24 where it may miss two of twenty and 0.32 where it may miss seven of thirty: the bound was made for one size of route. Change: the chance that no more than may be missing are missed (Poisson) must be 0.25 or more; setting answers.least_chance. The line query_refused says it.

--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -19,9 +19,10 @@
 	// here.
 	Busy int
 	// Risk is how many of the other shards are expected to miss the answer,
-	// and Spare how many may.
-	Risk  float64
-	Spare int
+	// Spare how many may, and Chance how likely it is that no more do.
+	Risk   float64
+	Spare  int
+	Chance float64
 	// Overloaded: enough shards have a leaf, but too many would be missing.
 	Overloaded bool
 	// RetryAfter is when the query is worth asking again.
@@ -59,7 +60,8 @@
 	late := q.late(found, now)
 	refusal.Late = len(late)
 	refusal.Risk = q.risk(found, now)
-	refusal.Overloaded = refusal.Late > refusal.Spare || refusal.Risk > float64(refusal.Spare)+q.opts.SpareRisk
+	refusal.Chance = atMost(refusal.Spare, refusal.Risk)
+	refusal.Overloaded = refusal.Late > refusal.Spare || refusal.Chance < q.opts.LeastChance
 	if refusal.Overloaded && !q.table.AdmitProbe(q.route.Name, now) {
 		refusal.RetryAfter = retryLate
 		return nil, &refusal
@@ -161,6 +163,19 @@
 	return sum
 }
 
+// atMost is the probability that at most n of many independent events happen when
+// mean are expected (Poisson). A bound on the expected number alone would be far
+// stricter for routes that may miss many shards than for those that may miss none.
+func atMost(n int, mean float64) float64 {
+	term := math.Exp(-mean)
+	sum := term
+	for k := 1; k <= n; k++ {
+		term *= mean / float64(k)
+		sum += term
+	}
+	return sum
+}
+
 // sendFirst sends the first request of every shard that is not left out.
 func (q *Query) sendFirst(found []placed, now time.Time) []Send {
 	sends := make([]Send, 0, len(found))
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -31,9 +31,9 @@
 	// UsefulTarget is how long a first request is of use to the leaf, in
 	// multiples of the target latency.
 	UsefulTarget float64
-	// SpareRisk is how many shards more than may be missing a query may be
-	// expected to miss when it is admitted.
-	SpareRisk float64
+	// LeastChance is how likely (0 to 1) a query must be to cover enough shards
+	// by the target to be admitted.
+	LeastChance float64
 }
 
 // retryStep is how soon a shard whose second request found no budget or no
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -65,6 +65,18 @@
 	require.Equal(t, Unanswered, q.Lack(1))
 }
 
+// A route that may miss nothing is refused at a smaller expected loss than one
+// that may miss five shards, at the same chance.
+func TestAtMost(t *testing.T) {
+	for _, tc := range []struct {
+		n    int
+		mean float64
+		want float64
+	}{{0, 0, 1}, {0, 1, 0.368}, {0, 2, 0.135}, {2, 4, 0.238}, {5, 7, 0.301}, {5, 0.1, 1}} {
+		require.InDelta(t, tc.want, atMost(tc.n, tc.mean), 0.001, "%v", tc)
+	}
+}
+
 // Symptom: a short burst leaves shards out although their leafs answer within
 // milliseconds. Sequence: the connections to both leafs of a shard are in use when
 // the query comes, and one is free again 5 ms later. Cause it guards against:
--- a/pkg/fanout/replay_test.go
+++ b/pkg/fanout/replay_test.go
@@ -314,7 +314,7 @@
 func standard() Options {
 	return Options{
 		AnswerMargin: 5 * time.Millisecond, PartialAnswers: true,
-		HedgeAtTypical: 2.5, HedgeAtTarget: 0.25, HedgeLeast: 15 * time.Millisecond, UsefulTarget: 1, SpareRisk: 2,
+		HedgeAtTypical: 2.5, HedgeAtTarget: 0.25, HedgeLeast: 15 * time.Millisecond, UsefulTarget: 1, LeastChance: 0.25,
 	}
 }
 
@@ -375,7 +375,7 @@
 	load.perSecond = 100
 	load.down = func(shard, n int, at time.Duration) bool { return shard%3 != 0 && n == 0 && at > 5*time.Second }
 	unguarded := standard()
-	unguarded.SpareRisk = 100
+	unguarded.LeastChance = 0
 	before := runReplay(load, unguarded)
 	got := runReplay(load, standard())
 	t.Logf("without the risk %.3f, %d late; with it %.3f, %d late, %d refused of %d", before.share(), before.late, got.share(), got.late, got.refused, got.queries)
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -44,7 +44,7 @@
 	opts := Options{
 		Fanout: fanout.Options{
 			AnswerMargin: 5 * time.Millisecond, PartialAnswers: true, HedgeAtTypical: 2.5,
-			HedgeAtTarget: 0.25, HedgeLeast: 15 * time.Millisecond, UsefulTarget: 1, SpareRisk: 2,
+			HedgeAtTarget: 0.25, HedgeLeast: 15 * time.Millisecond, UsefulTarget: 1, LeastChance: 0.25,
 		},
 		MaxInFlight: 100, Workers: 10000, DefaultPatience: 2 * time.Second,
 		AnswerMargin: 5 * time.Millisecond, RetryAfter: 300 * time.Millisecond,
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -72,7 +72,7 @@
 	g.log.Decision("query_refused", oplog.Fields{
 		"request": req.ID, "route": route.Name, "code": code.String(), "reason": code.Name(),
 		"shards": len(route.Shards), "shards_unreachable": r.Unreachable, "shards_late": r.Late, "shards_busy": r.Busy,
-		"risk": r.Risk, "may_miss": r.Spare,
+		"risk": r.Risk, "may_miss": r.Spare, "chance": r.Chance,
 		"retry_after_ms": r.RetryAfter.Milliseconds(), "config_version": g.version(),
 	})
 	return Answer{Code: code, RetryAfter: r.RetryAfter}
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -62,6 +62,13 @@
 	return nil
 }
 
+func fraction(field string, v float64) error {
+	if v < 0 || v > 1 {
+		return invalid(field, "must be between 0 and 1, got %v", v)
+	}
+	return nil
+}
+
 func oneOf(field, v string, allowed ...string) error {
 	for _, a := range allowed {
 		if v == a {
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -64,7 +64,7 @@
 	Partial           bool    `yaml:"partial"`
 	MarginMs          int     `yaml:"margin_ms"`
 	UsefulTarget      float64 `yaml:"useful_target"`
-	SpareRisk         float64 `yaml:"spare_risk"`
+	LeastChance       float64 `yaml:"least_chance"`
 	DefaultPatienceMs int     `yaml:"default_patience_ms"`
 	RetryAfterMs      int     `yaml:"retry_after_ms"`
 }
@@ -157,7 +157,7 @@
 			Partial:           true,
 			MarginMs:          5,
 			UsefulTarget:      1.0,
-			SpareRisk:         2,
+			LeastChance:       0.25,
 			DefaultPatienceMs: 5000,
 			RetryAfterMs:      300,
 		},
@@ -216,6 +216,7 @@
 		positive("second_requests.hedge_least_ms", n.Second.HedgeLeastMs),
 		positive("answers.margin_ms", n.Answer.MarginMs),
 		positive("answers.useful_target", n.Answer.UsefulTarget),
+		fraction("answers.least_chance", n.Answer.LeastChance),
 		positive("answers.default_patience_ms", n.Answer.DefaultPatienceMs),
 		positive("answers.retry_after_ms", n.Answer.RetryAfterMs),
 		positive("leafs.conns_per_leaf", n.Leafs.ConnsPerLeaf),
--- a/pkg/settings/node_test.go
+++ b/pkg/settings/node_test.go
@@ -55,3 +55,17 @@
 		require.Equal(t, want, n.WatchWait(), more)
 	}
 }
+
+// Changes of the store are collected for a part of the time in which they must be
+// in force, however generous the setting.
+func TestCoalesceKeepsWithinTheDeclaredTimes(t *testing.T) {
+	for _, tc := range []struct{ coalesce, apply, drain, want int }{
+		{2000, 3000, 3000, 1200}, {2000, 5000, 2500, 1000}, {800, 3000, 3000, 800}, {2000, 60000, 60000, 2000},
+	} {
+		n := NodeDefaults()
+		n.Store.CoalesceMs = tc.coalesce
+		n.Bounds.ApplyMs = tc.apply
+		n.Bounds.DrainMs = tc.drain
+		require.Equal(t, Duration(tc.want), n.Coalesce(), "%v", tc)
+	}
+}
