A leaf that refuses connections after resets counts towards a cut zone at once

Change: a leaf that is down counts when its last connection could not be opened. Test first: TestResetsAreNoLostZone's second half.

--- a/pkg/replica/calls.go
+++ b/pkg/replica/calls.go
@@ -117,14 +117,14 @@
 		r.downUntil = now.Add(downMost)
 		t.zoneReplied(r.Zone, now)
 	case NotSent:
-		r.unreached++
+		r.unreached = true
 		r.fail(now)
 	case Broken:
-		r.unreached = 0
+		r.unreached = false
 		r.learnRefusal(true, now)
 		r.fail(now)
 	case Crowded:
-		r.unreached = 0
+		r.unreached = false
 		r.learnRefusal(true, now)
 		r.learnCrowded(now)
 	case TimedOut:
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -307,6 +307,10 @@
 		}
 	}
 	require.Empty(t, table.SuspectZones(at(400)))
+	for _, id := range []string{"a", "b", "c"} {
+		table.End(table.Begin(Placement{Leaf: leaf(id, "z2")}, "c", at(400)), NotSent, at(401))
+	}
+	require.Equal(t, []string{"z2"}, table.SuspectZones(at(402)), "one that cannot be opened, after resets, is")
 }
 
 // Symptom: thousands of connections are reset after a restart, and the budget of
--- a/pkg/replica/row.go
+++ b/pkg/replica/row.go
@@ -69,10 +69,10 @@
 	room   int
 	roomAt time.Time
 
-	// failures counts failed connections in a row, and unreached how many of
-	// the last ones could not be opened.
+	// failures counts failed connections in a row; unreached: the last one
+	// could not be opened.
 	failures  int
-	unreached int
+	unreached bool
 	downUntil time.Time
 }
 
@@ -207,7 +207,7 @@
 // answered records that the leaf is reachable.
 func (r *row) answered(now time.Time) {
 	r.failures = 0
-	r.unreached = 0
+	r.unreached = false
 	r.downUntil = time.Time{}
 	r.lastReply = now
 }
--- a/pkg/replica/zones.go
+++ b/pkg/replica/zones.go
@@ -50,7 +50,7 @@
 	defer t.mu.Unlock()
 	silent := make(map[string]int)
 	for _, r := range t.leafs {
-		if r.silentFor(now) > zoneSilence || r.unreached >= downAfter {
+		if r.silentFor(now) > zoneSilence || (r.failures >= downAfter && r.unreached) {
 			silent[r.Zone]++
 		}
 	}
