--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -184,7 +184,7 @@
 		if s.out || s.verdict != replica.Placed {
 			continue
 		}
-		sends = append(sends, q.send(p.shard, p.placement, First, now)...)
+		sends = q.send(sends, p.shard, p.placement, First, now)
 	}
 	return sends
 }
--- a/pkg/fanout/progress.go
+++ b/pkg/fanout/progress.go
@@ -6,15 +6,16 @@
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 )
 
-// send records one request of a shard. There is none when the last connection to
-// the leaf was taken since it was placed; the shard is then looked at again.
-func (q *Query) send(i int, p replica.Placement, why Reason, now time.Time) []Send {
+// send records one request of a shard and adds it to sends. There is none when the
+// last connection to the leaf was taken since it was placed; the shard is then
+// looked at again.
+func (q *Query) send(sends []Send, i int, p replica.Placement, why Reason, now time.Time) []Send {
 	s := &q.shards[i]
 	call := q.table.Begin(p, q.route.Name, now)
 	if call == nil {
 		s.verdict = replica.AllBusy
 		s.lookAt = now.Add(busyStep)
-		return nil
+		return sends
 	}
 	s.attempts = append(s.attempts, attempt{call: call, open: true})
 	s.tried = append(s.tried, p.Leaf.ID)
@@ -23,10 +24,10 @@
 	if q.opts.HedgeAtTypical > 0 {
 		s.lookAt = now.Add(q.hedgeDelay())
 	}
-	return []Send{{
+	return append(sends, Send{
 		Shard: i, Attempt: len(s.attempts) - 1, Call: call,
 		Deadline: q.usefulUntil(now), Reason: why,
-	}}
+	})
 }
 
 // usefulUntil is when a reply to a request sent now is of no more use.
@@ -76,18 +77,18 @@
 	if s.covered || s.open > 0 {
 		return nil
 	}
-	return q.second(i, Repeat, now)
+	return q.second(nil, i, Repeat, now)
 }
 
-// second sends another request for shard i if the route, the budget and the
+// second adds another request for shard i to sends if the route, the budget and the
 // leafs allow it; otherwise the shard is looked at again a little later, or
 // left out.
-func (q *Query) second(i int, why Reason, now time.Time) []Send {
+func (q *Query) second(sends []Send, i int, why Reason, now time.Time) []Send {
 	s := &q.shards[i]
 	if len(s.attempts) >= min(q.route.MaxAttempts, maxAttempts) {
 		s.out = s.open == 0
 		s.lookAt = time.Time{}
-		return nil
+		return sends
 	}
 	s.lookAt = now.Add(retryStep)
 	service := q.route.Shards[i]
@@ -101,9 +102,9 @@
 	case !q.table.TakeSecond(service, now):
 		s.out = s.open == 0 && q.overBudget(now)
 	default:
-		return q.send(i, p, why, now)
+		return q.send(sends, i, p, why, now)
 	}
-	return nil
+	return sends
 }
 
 // overBudget reports whether a shard with nothing open is left out for good
@@ -114,22 +115,22 @@
 	return !q.aimed() || !now.Before(q.softEnd)
 }
 
-// first sends the first request of a shard whose leafs had no free connection
-// before, or looks at it again a little later.
-func (q *Query) first(i int, now time.Time) []Send {
+// first adds the first request of a shard whose leafs had no free connection
+// before to sends, or looks at it again a little later.
+func (q *Query) first(sends []Send, i int, now time.Time) []Send {
 	s := &q.shards[i]
 	p, v := q.table.Place(q.route.Shards[i], q.route.Name, nil, now)
 	s.verdict = v
 	switch v {
 	case replica.Placed:
-		return q.send(i, p, First, now)
+		return q.send(sends, i, p, First, now)
 	case replica.AllBusy:
 		s.out = q.aimed() && !now.Before(q.softEnd)
 		s.lookAt = now.Add(busyStep)
 	default:
 		s.out = true
 	}
-	return nil
+	return sends
 }
 
 // tooLate reports whether a second request to p would be answered after the
@@ -151,10 +152,10 @@
 			continue
 		}
 		if len(s.attempts) == 0 {
-			sends = append(sends, q.first(i, now)...)
+			sends = q.first(sends, i, now)
 			continue
 		}
-		sends = append(sends, q.second(i, q.why(s, now), now)...)
+		sends = q.second(sends, i, q.why(s, now), now)
 	}
 	return sends
 }
