--- a/pkg/replica/zones.go
+++ b/pkg/replica/zones.go
@@ -50,7 +50,7 @@
 	defer t.mu.Unlock()
 	silent := make(map[string]int)
 	for _, r := range t.leafs {
-		if t.silentWithZone(r, now) || (r.failures >= downAfter && r.unreached) {
+		if r.silentFor(now) > zoneSilence || (r.failures >= downAfter && r.unreached) {
 			silent[r.Zone]++
 		}
 	}
@@ -67,17 +67,6 @@
 	return marked
 }
 
-// silentWithZone reports whether a leaf is silent and was sent something since its
-// zone last replied. On an instance that is seldom asked, the other leafs of a query
-// have replied long before its slow ones: their silence says nothing of the zone.
-func (t *Table) silentWithZone(r *row, now time.Time) bool {
-	if r.silentFor(now) <= zoneSilence {
-		return false
-	}
-	z := t.zones[r.Zone]
-	return z != nil && r.starts[len(r.starts)-1].After(z.lastReply)
-}
-
 // ZoneProbes returns one leaf of each suspected zone whose probe is due. It is
 // checked instead of sending it callers' requests: a cut zone answers nothing,
 // so each such request would be lost or cost a second one.
