--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -163,8 +163,8 @@
 // After an outage of some seconds more may have changed than one reply holds. With
 // the usual pause after each of them an instance reads an old state of the fleet for
 // as long again; one notices new routes answered as unknown, and requests sent to
-// leafs that left, although the store is well (3,500 changes in replies of 500: 12 s
-// in place of 0.3 s).
+// leafs that left, although the store is well (3,500 changes in replies of 500, 2 s
+// apart: 12 s).
 func (f *Follower) pause(page Page) time.Duration {
 	if len(page.Events) == 0 || page.Full {
 		return 0
--- a/pkg/entry/plan_test.go
+++ b/pkg/entry/plan_test.go
@@ -56,9 +56,10 @@
 		shard gateway.ShardAnswer
 		want  errcode.Code
 	}{
-		{gateway.ShardAnswer{Lack: fanout.Unreachable}, errcode.ShardUnavailable},
+		{gateway.ShardAnswer{Lack: fanout.NoLeaf}, errcode.ShardUnavailable},
+		{gateway.ShardAnswer{Lack: fanout.AllDown}, errcode.ShardUnavailable},
 		{gateway.ShardAnswer{Lack: fanout.Unanswered}, errcode.ShardTimeout},
-		{gateway.ShardAnswer{Lack: fanout.Busy}, errcode.ShardNotSent},
+		{gateway.ShardAnswer{Lack: fanout.AllBusy}, errcode.ShardNotSent},
 		{gateway.ShardAnswer{Lack: fanout.Failed, Last: refused}, errcode.ShardNotHere},
 		{gateway.ShardAnswer{Lack: fanout.Failed, Last: &gateway.LeafReply{Outcome: replica.NotSent}}, errcode.ShardUnavailable},
 		{gateway.ShardAnswer{Lack: fanout.Failed, Last: &gateway.LeafReply{Outcome: replica.NotSent, Err: gateway.ErrNoWorker}}, errcode.EntryOverloaded},
--- a/pkg/entry/search.go
+++ b/pkg/entry/search.go
@@ -54,9 +54,9 @@
 		if s.Last != nil {
 			return leafError(s.Last)
 		}
-	case fanout.Unreachable:
+	case fanout.NoLeaf, fanout.AllDown:
 		return errcode.ShardUnavailable, "no live leaf"
-	case fanout.Busy:
+	case fanout.AllBusy:
 		return errcode.ShardNotSent, errcode.ShardNotSent.Name()
 	}
 	return errcode.ShardTimeout, errcode.ShardTimeout.Name()
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -94,7 +94,7 @@
 	sends, refusal := q.Start(epoch)
 	require.Nil(t, refusal)
 	require.Len(t, sends, 1, "the other shard's request")
-	require.Equal(t, Busy, q.Lack(0))
+	require.Equal(t, AllBusy, q.Lack(0))
 	require.Empty(t, q.Tick(q.Next(epoch)))
 	table.End(busy[0], replica.Answered, at(5))
 	sends = q.Tick(at(6))
--- a/pkg/fanout/progress.go
+++ b/pkg/fanout/progress.go
@@ -244,15 +244,17 @@
 	Failed
 	// Overloaded: the best leaf would have answered too late.
 	Overloaded
-	// Unreachable: no leaf is listed, or those listed are down.
-	Unreachable
-	// Busy: this instance's connections to each leaf were in use.
-	Busy
+	// NoLeaf: none is listed that takes new work.
+	NoLeaf
+	// AllDown: those listed do not accept connections.
+	AllDown
+	// AllBusy: this instance's connections to each leaf were in use.
+	AllBusy
 )
 
 // String names the lack in logs.
 func (l Lack) String() string {
-	return [...]string{"covered", "unanswered", "failed", "overloaded", "unreachable", "busy"}[l]
+	return [...]string{"covered", "unanswered", "failed", "overloaded", "no_leaf", "all_down", "all_busy"}[l]
 }
 
 // Lack returns why shard i is not covered, as far as is known.
@@ -268,7 +270,9 @@
 	case s.verdict == replica.Placed:
 		return Overloaded
 	case s.verdict == replica.AllBusy:
-		return Busy
+		return AllBusy
+	case s.verdict == replica.AllDown:
+		return AllDown
 	}
-	return Unreachable
+	return NoLeaf
 }
