Read once more: one check of a full leaf, no walk over a leaf's services on each request, one way to run a call

- replica: the half life of what a leaf showed was recomputed on each request for each leaf of the service, over all services of that leaf; a backend server that holds 70 shards has 140.
A row now names its busiest service, which the request's pace keeps, and the half life is read off it.
Place and Begin ask one function whether a leaf is full.
- entry: search and hold build and run their request by one function, refuse one too many by one, and answers to holds without a result share their common part.

--- a/pkg/entry/handlers.go
+++ b/pkg/entry/handlers.go
@@ -11,6 +11,7 @@
 
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/gateway"
+	"github.com/indigoyoke/indigoyoke/pkg/routing"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
@@ -43,18 +44,22 @@
 	timeout time.Duration
 }
 
-// request is the call as the gateway runs it.
-func (cl *call) request(work *leafWork) *gateway.Request {
-	return &gateway.Request{ID: cl.id, Arrived: cl.arrived, Patience: cl.timeout, Content: work}
-}
-
-// work completes what a call asks of the leafs.
-func (e *Entry) work(cl *call, message wire.LeafRequest) *leafWork {
+// run completes what a call asks of the leafs and runs it on a route.
+func (e *Entry) run(ctx context.Context, cl *call, route *routing.Route, message wire.LeafRequest) gateway.Answer {
 	message.RequestID = cl.id
 	message.Index = cl.index.Name
 	message.Snapshot = cl.index.Snapshot
 	message.FromZone = e.set.Zone
-	return &leafWork{message: message, plan: cl.plan}
+	return e.gateway.Serve(ctx, &gateway.Request{
+		ID: cl.id, Arrived: cl.arrived, Patience: cl.timeout,
+		Content: &leafWork{message: message, plan: cl.plan},
+	}, route)
+}
+
+// overloaded answers a call that was one too many in flight.
+func (e *Entry) overloaded(cl *call) wire.Answer {
+	e.stats.shed.Inc()
+	return e.refusal(cl.id, errcode.EntryOverloaded, "too many requests in flight")
 }
 
 func (e *Entry) handleSearch(ctx context.Context, c *app.RequestContext) {
--- a/pkg/entry/hold.go
+++ b/pkg/entry/hold.go
@@ -24,12 +24,11 @@
 	// A caller that leaves does not end its hold: it may ask again with the
 	// same key, and the outcome has to be on the primary's record by then.
 	ctx = context.WithoutCancel(ctx)
-	work := e.work(cl, wire.LeafRequest{Kind: wire.LeafHold, Item: req.Item, IdempotencyKey: req.IdempotencyKey})
-	a := e.gateway.Serve(ctx, cl.request(work), route)
+	message := wire.LeafRequest{Kind: wire.LeafHold, Item: req.Item, IdempotencyKey: req.IdempotencyKey}
+	a := e.run(ctx, cl, route, message)
 	switch {
 	case a.Code == errcode.EntryOverloaded:
-		e.stats.shed.Inc()
-		return e.refusal(cl.id, a.Code, "too many requests in flight")
+		return e.overloaded(cl)
 	case a.Relayed != nil && a.Relayed.Outcome == replica.Answered:
 		return held(cl, req.Shard, a.Relayed.Content.(*wire.LeafResponse))
 	case a.Code == errcode.ShardsUnavailable:
@@ -57,10 +56,10 @@
 	if last != nil {
 		code, msg = leafError(last)
 	}
-	return wire.Answer{
-		RequestID: cl.id, Code: code, Message: msg, Snapshot: cl.index.Snapshot, RetryAfterMs: e.set.RetryAfterMs,
-		Missing: []wire.MissingShard{{Shard: shard, Code: code, Reason: msg}},
-	}
+	a := e.withoutShard(cl, shard, code, msg)
+	a.Code = code
+	a.Message = msg
+	return a
 }
 
 // holdUnknown answers a hold that may have run.
@@ -72,9 +71,17 @@
 	case a.Last != nil:
 		code, msg = leafError(a.Last)
 	}
+	answer := e.withoutShard(cl, shard, code, msg)
+	answer.Code = errcode.OutcomeUnknown
+	answer.Message = "sent, no reply: ask again with the same Idempotency-Key"
+	return answer
+}
+
+// withoutShard is what answers to holds without a result share: why the shard is
+// missing, and when to ask again.
+func (e *Entry) withoutShard(cl *call, shard string, code errcode.Code, reason string) wire.Answer {
 	return wire.Answer{
-		RequestID: cl.id, Code: errcode.OutcomeUnknown, Snapshot: cl.index.Snapshot, RetryAfterMs: e.set.RetryAfterMs,
-		Message: "sent, no reply: ask again with the same Idempotency-Key",
-		Missing: []wire.MissingShard{{Shard: shard, Code: code, Reason: msg}},
+		RequestID: cl.id, Snapshot: cl.index.Snapshot, RetryAfterMs: e.set.RetryAfterMs,
+		Missing: []wire.MissingShard{{Shard: shard, Code: code, Reason: reason}},
 	}
 }
--- a/pkg/entry/search.go
+++ b/pkg/entry/search.go
@@ -12,12 +12,11 @@
 
 // search runs req over every shard of the pinned index at the pinned snapshot.
 func (e *Entry) search(ctx context.Context, cl *call, req wire.SearchRequest) wire.Answer {
-	work := e.work(cl, wire.LeafRequest{Kind: wire.LeafSearch, Text: req.Text, Limit: req.Limit})
-	a := e.gateway.Serve(ctx, cl.request(work), cl.plan.searches[cl.name])
+	message := wire.LeafRequest{Kind: wire.LeafSearch, Text: req.Text, Limit: req.Limit}
+	a := e.run(ctx, cl, cl.plan.searches[cl.name], message)
 	switch a.Code {
 	case errcode.EntryOverloaded:
-		e.stats.shed.Inc()
-		return e.refusal(cl.id, a.Code, "too many requests in flight")
+		return e.overloaded(cl)
 	case errcode.CallerLeft:
 		e.stats.callersLeft.Inc()
 		return e.refusal(cl.id, a.Code, a.Code.Name())
--- a/pkg/replica/budget.go
+++ b/pkg/replica/budget.go
@@ -113,9 +113,6 @@
 	s := t.service(serviceName)
 	s.budget.Request(now)
 	s.pace(now)
-	for _, r := range s.leafs {
-		r.halfLife = t.halfLife(r)
-	}
 }
 
 // TakeSecond takes one second request out of the service's budget.
--- a/pkg/replica/calls.go
+++ b/pkg/replica/calls.go
@@ -55,7 +55,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r := t.leafs[p.Leaf.ID]; r != nil {
-		if len(r.starts) >= r.roomNow(t.connLimit(&r.Leaf), now) {
+		if t.full(r, now) {
 			return nil
 		}
 		r.begin(now)
--- a/pkg/replica/class.go
+++ b/pkg/replica/class.go
@@ -116,22 +116,16 @@
 // Were it believed for a fixed second, an instance that is asked once in two
 // seconds would have forgotten by each query which leafs are slow: it would ask
 // them first again and pay for second requests until their budget is used up. So
-// the time grows with the gap between requests.
+// the time grows with the gap between requests, of a leaf with several services by
+// the one that is asked for most.
 func (s *service) pace(now time.Time) {
 	if !s.last.IsZero() {
 		s.every += time.Duration(paceWeight * float64(now.Sub(s.last)-s.every))
 	}
 	s.last = now
-}
-
-// halfLife is for how long what a leaf showed is half believed: by the service that
-// is asked for most, where it has several.
-func (t *Table) halfLife(r *row) time.Duration {
-	halfLife := slownessMost
-	for _, name := range r.Services {
-		if s := t.service(name); !s.last.IsZero() {
-			halfLife = min(halfLife, slownessRequests*s.every)
+	for _, r := range s.leafs {
+		if r.busiest == nil || s.every < r.busiest.every {
+			r.busiest = s
 		}
 	}
-	return max(halfLife, slownessLeast)
 }
--- a/pkg/replica/membership.go
+++ b/pkg/replica/membership.go
@@ -92,6 +92,7 @@
 
 // detach takes r off its services' lists.
 func (t *Table) detach(r *row) {
+	r.busiest = nil
 	for _, name := range r.Services {
 		s := t.service(name)
 		s.leafs = slices.DeleteFunc(s.leafs, func(have *row) bool { return have == r })
--- a/pkg/replica/placement.go
+++ b/pkg/replica/placement.go
@@ -71,7 +71,7 @@
 			verdict = worse(verdict, AllDown)
 			continue
 		}
-		if len(r.starts) >= r.roomNow(t.connLimit(&r.Leaf), now) {
+		if t.full(r, now) {
 			verdict = worse(verdict, AllBusy)
 			continue
 		}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -166,6 +166,11 @@
 	return max(limit-t.opts.ReservedConns, 1)
 }
 
+// full reports whether this instance has as many requests at a leaf as it may.
+func (t *Table) full(r *row, now time.Time) bool {
+	return len(r.starts) >= r.roomNow(t.connLimit(&r.Leaf), now)
+}
+
 // published is the connection limit published for a leaf, 0 for none.
 func (t *Table) published(leaf *Leaf) int {
 	if leaf.MaxConns > 0 {
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -212,7 +212,7 @@
 		for i := range 100 {
 			table.CountRequest("s", t0.Add(time.Duration(i)*tc.every))
 		}
-		require.InDelta(t, tc.want, table.leafs["a"].halfLife, float64(20*time.Millisecond))
+		require.InDelta(t, tc.want, table.leafs["a"].halfLife(), float64(20*time.Millisecond))
 	}
 }
 
--- a/pkg/replica/row.go
+++ b/pkg/replica/row.go
@@ -58,7 +58,9 @@
 	// the request's class; refusals is the smoothed share of refused ones.
 	slowness   float64
 	slownessAt time.Time
-	halfLife   time.Duration
+	// busiest is the service of the leaf that is asked for most; nil: none was
+	// asked for yet.
+	busiest *service
 	// lateSince is the first failure for lack of time since the last reply.
 	lateSince  time.Time
 	refusals   float64
@@ -77,7 +79,7 @@
 }
 
 func newRow(leaf Leaf, now time.Time) *row {
-	r := &row{Leaf: leaf, slowness: 1, slownessAt: now, refusalsAt: now, halfLife: slownessLeast}
+	r := &row{Leaf: leaf, slowness: 1, slownessAt: now, refusalsAt: now}
 	if leaf.Cold > 0 {
 		r.slowness = coldSlowness
 	}
@@ -94,7 +96,15 @@
 
 // slownessNow is the slowness as believed now: it returns to 1 as it ages.
 func (r *row) slownessNow(now time.Time) float64 {
-	return 1 + (r.slowness-1)*decay(now.Sub(r.slownessAt), r.halfLife)
+	return 1 + (r.slowness-1)*decay(now.Sub(r.slownessAt), r.halfLife())
+}
+
+// halfLife is for how long what the leaf showed is half believed.
+func (r *row) halfLife() time.Duration {
+	if r.busiest == nil {
+		return slownessLeast
+	}
+	return min(max(slownessRequests*r.busiest.every, slownessLeast), slownessMost)
 }
 
 func (r *row) refusalsNow(now time.Time) float64 {
