Reborn leafs, entries that cannot be read, one bad item among good ones

Cause: a leaf that starts again under its ID counted as old for good (sequences of two incarnations compared, draining final for an ID); an entry with fields missing or an unknown state became a leaf that was used; one item that could not be decoded made the whole reply of the store fail, and the follower repeated it for ever.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -18,12 +18,15 @@
 // ErrCompacted says that the store no longer has the history asked for.
 var ErrCompacted = errors.New("store history is no longer available")
 
-// Event is one published change. Exactly one of the pointers, or GoneLeaf, is
-// set; an event about anything else has none.
+// Event is one published change. Exactly one of its fields is set; an event about
+// anything else, or one that cannot be decoded, has none.
 type Event struct {
 	Leaf     *replica.Leaf
 	Config   *routing.Config
 	GoneLeaf string
+	// UnreadableLeaf is a leaf whose entry cannot be decoded: there is no leaf to
+	// use under this ID.
+	UnreadableLeaf string
 }
 
 // Page is what one call to the store brought.
@@ -36,6 +39,8 @@
 	// Full: a watch brought as much as fits into one reply, so that there may
 	// be more already.
 	Full bool
+	// Unreadable is how many of the events could not be decoded.
+	Unreadable int
 }
 
 // Source reads the store.
@@ -52,6 +57,8 @@
 type Sink interface {
 	LeafSeen(leaf replica.Leaf)
 	LeafGone(id string)
+	// LeafUnreadable is told a leaf whose entry cannot be decoded.
+	LeafUnreadable(id string)
 	// Listed is told all leafs of a complete listing.
 	Listed(ids map[string]bool)
 	ConfigSeen(c *routing.Config)
@@ -91,9 +98,10 @@
 	failingSince time.Time
 	retry        time.Duration
 
-	calls    atomic.Int64
-	failures atomic.Int64
-	goodAt   atomic.Pointer[time.Time]
+	calls      atomic.Int64
+	failures   atomic.Int64
+	unreadable atomic.Int64
+	goodAt     atomic.Pointer[time.Time]
 }
 
 // Calls is how many calls were made, Failures how many of them failed.
@@ -102,6 +110,9 @@
 // Failures is how many calls failed.
 func (f *Follower) Failures() int64 { return f.failures.Load() }
 
+// Unreadable is how many entries could not be decoded.
+func (f *Follower) Unreadable() int64 { return f.unreadable.Load() }
+
 // Age is how old the last answer of the store is; 0 before the first.
 func (f *Follower) Age(now time.Time) time.Duration {
 	at := f.goodAt.Load()
@@ -153,6 +164,7 @@
 		return f.failed(ctx, "watch", err)
 	}
 	f.succeeded()
+	f.unreadable.Add(int64(page.Unreadable))
 	f.apply(page.Events)
 	f.revision = max(f.revision, page.Revision)
 	return f.pause(page)
@@ -188,6 +200,7 @@
 			return err
 		}
 		f.succeeded()
+		f.unreadable.Add(int64(page.Unreadable))
 		if revision < 0 {
 			revision = page.Revision
 		}
@@ -219,6 +232,8 @@
 			f.sink.LeafSeen(*e.Leaf)
 		case e.GoneLeaf != "":
 			f.sink.LeafGone(e.GoneLeaf)
+		case e.UnreadableLeaf != "":
+			f.sink.LeafUnreadable(e.UnreadableLeaf)
 		case e.Config != nil:
 			config = e.Config
 		}
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -41,6 +41,7 @@
 
 func (r *record) LeafSeen(l replica.Leaf)      { r.told = append(r.told, "leaf "+l.ID) }
 func (r *record) LeafGone(id string)           { r.told = append(r.told, "gone "+id) }
+func (r *record) LeafUnreadable(id string)     { r.told = append(r.told, "unreadable "+id) }
 func (r *record) Listed(map[string]bool)       { r.told = append(r.told, "listed") }
 func (r *record) ConfigSeen(c *routing.Config) { r.told = append(r.told, "config") }
 func (r *record) StoreReturned()               { r.told = append(r.told, "returned") }
@@ -123,3 +124,21 @@
 	f.step(context.Background())
 	require.Equal(t, []string{"listed", "gone x", "config"}, r.told)
 }
+
+// Symptom: a leaf whose entry turned unreadable while the store was away is used on.
+// Sequence: the listing after the outage has its key, with a value that cannot be
+// decoded. Cause: it was taken for one that lapsed with the outage.
+func TestUnreadableLeafIsToldApartFromOneThatIsGone(t *testing.T) {
+	s := &script{
+		lists: []Page{{Events: []Event{leafEvent("a"), {UnreadableLeaf: "b"}}, Unreadable: 1}},
+		watches: []func() (Page, error){func() (Page, error) {
+			return Page{Events: []Event{{UnreadableLeaf: "a"}, {}}, Unreadable: 2, Revision: 15}, nil
+		}},
+	}
+	f, r := follower(s)
+	f.step(context.Background())
+	require.Equal(t, f.opts.Coalesce, f.step(context.Background()))
+	require.Equal(t, []string{"leaf a", "unreadable b", "listed", "unreadable a"}, r.told)
+	require.EqualValues(t, 15, f.revision, "goes on behind what cannot be decoded")
+	require.EqualValues(t, 3, f.Unreadable())
+}
--- a/pkg/entry/leafs.go
+++ b/pkg/entry/leafs.go
@@ -125,6 +125,10 @@
 	delete(l.cancels, backend)
 }
 
+// Restarted implements gateway.Leafs. A backend server that starts again shows it by
+// closing its connections, which ends the calls.
+func (l *leafs) Restarted(backend string) { l.Forget(backend) }
+
 // cancel tells a backend server to stop working on a search. It is a message and
 // not a closed connection, because a new connection costs a backend server
 // several milliseconds and counts against its limit. If it is lost, the leaf's
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -86,8 +86,11 @@
 	Do(ctx context.Context, call LeafCall) LeafReply
 	// Probe reports whether a leaf answers a health check in time.
 	Probe(ctx context.Context, leaf replica.Leaf, path string, by time.Time) bool
-	// Forget releases what is held for a leaf that left.
+	// Forget releases what is held for a leaf that left; calls in flight go on.
 	Forget(leafID string)
+	// Restarted ends the calls in flight at a leaf that has started again, whose
+	// replies cannot come any more, and releases what is held for it.
+	Restarted(leafID string)
 }
 
 // Answer is the outcome of a request.
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -26,7 +26,8 @@
 func (s *scripted) Probe(context.Context, replica.Leaf, string, time.Time) bool {
 	return false
 }
-func (s *scripted) Forget(string) {}
+func (s *scripted) Forget(string)    {}
+func (s *scripted) Restarted(string) {}
 
 // answered is a good reply at once.
 func answered(_ context.Context, call LeafCall) LeafReply {
--- a/pkg/leafconn/leafconn_test.go
+++ b/pkg/leafconn/leafconn_test.go
@@ -107,6 +107,30 @@
 	}
 }
 
+// Symptom: a request waits to its deadline for a leaf that has started again. Sequence:
+// the leaf is known to have a new incarnation while a request is in flight on a
+// connection that stays silent. Cause: only idle connections were closed.
+func TestLostLeafEndsCallsInFlight(t *testing.T) {
+	p := pool()
+	reached := make(chan struct{})
+	addr := serve(t, func(_ net.Conn, next func() *http.Request) {
+		next()
+		close(reached)
+		next()
+	})
+	fate := make(chan Fate, 1)
+	go func() {
+		_, got, _ := send(p, addr, time.Minute)
+		fate <- got
+	}()
+	<-reached
+	p.LoseLeaf("other")
+	p.LoseLeaf("leaf")
+	require.Equal(t, Lost, <-fate, "it may have run")
+	require.Zero(t, p.Stats.OpenConns.Load())
+	require.Empty(t, p.busy)
+}
+
 func TestNoConnectionIsNotSent(t *testing.T) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
--- a/pkg/leafconn/pool.go
+++ b/pkg/leafconn/pool.go
@@ -61,6 +61,8 @@
 
 	mu   sync.Mutex
 	idle map[string][]*conn
+	// busy are the connections with a request on them.
+	busy map[string]map[*conn]struct{}
 }
 
 // conn is one connection to a leaf.
@@ -83,6 +85,7 @@
 		// needed to notice a dead leaf.
 		dialer: net.Dialer{Timeout: opts.DialTimeout, KeepAlive: -1},
 		idle:   make(map[string][]*conn),
+		busy:   make(map[string]map[*conn]struct{}),
 	}
 }
 
@@ -117,9 +120,26 @@
 	}
 	c := list[len(list)-1]
 	p.idle[leaf] = list[:len(list)-1]
+	p.use(c)
 	return c
 }
 
+// use notes that a request is on c; mu is held.
+func (p *Pool) use(c *conn) {
+	if p.busy[c.leaf] == nil {
+		p.busy[c.leaf] = make(map[*conn]struct{})
+	}
+	p.busy[c.leaf][c] = struct{}{}
+}
+
+// unuse notes that no request is on c any more; mu is held.
+func (p *Pool) unuse(c *conn) {
+	delete(p.busy[c.leaf], c)
+	if len(p.busy[c.leaf]) == 0 {
+		delete(p.busy, c.leaf)
+	}
+}
+
 func (p *Pool) dial(ctx context.Context, leaf, addr string) (*conn, error) {
 	p.Stats.Dials.Add(1)
 	raw, err := p.dialer.DialContext(ctx, "tcp", addr)
@@ -128,7 +148,11 @@
 		return nil, err
 	}
 	p.Stats.OpenConns.Add(1)
-	return &conn{Conn: raw, leaf: leaf, br: bufio.NewReaderSize(raw, readBuffer)}, nil
+	c := &conn{Conn: raw, leaf: leaf, br: bufio.NewReaderSize(raw, readBuffer)}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.use(c)
+	return c, nil
 }
 
 // put keeps a connection whose reply was read whole.
@@ -144,11 +168,15 @@
 	c.idleUntil = now.Add(keep)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.unuse(c)
 	p.idle[c.leaf] = append(p.idle[c.leaf], c)
 }
 
 // close ends a connection; a leaf drops the work of a closed one.
 func (p *Pool) close(c *conn) {
+	p.mu.Lock()
+	p.unuse(c)
+	p.mu.Unlock()
 	p.Stats.OpenConns.Add(-1)
 	_ = c.Close() // Nothing is buffered for writing; an error changes nothing.
 }
@@ -164,6 +192,21 @@
 	}
 }
 
+// LoseLeaf ends all connections to a leaf, also those with a request on them.
+//
+// A leaf that crashed behind a cut and started again never answers what was in flight,
+// and its old connections stay silent without an error; one notices callers that wait
+// to their deadline for a leaf that has long been back.
+func (p *Pool) LoseLeaf(leaf string) {
+	p.DropLeaf(leaf)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.busy[leaf] {
+		// The request's own goroutine sees the end, and counts it.
+		_ = c.Conn.Close()
+	}
+}
+
 // Sweep closes the connections whose idle time is over. Without it, leafs that
 // get no requests any more would keep a part of their limit taken.
 func (p *Pool) Sweep(now time.Time) {
--- a/pkg/node/sink.go
+++ b/pkg/node/sink.go
@@ -14,12 +14,20 @@
 	if change == replica.Unchanged {
 		return
 	}
-	if change == replica.Moved {
+	switch change {
+	case replica.Moved:
 		n.leafs.Forget(leaf.ID)
+	case replica.Reborn:
+		n.leafs.Restarted(leaf.ID)
 	}
-	n.log.Decision("leaf_"+change.String(), oplog.Fields{
-		"leaf": leaf.ID, "services": leaf.Services, "leaf_zone": leaf.Zone, "sequence": leaf.Sequence, "cold_ms": leaf.Cold.Milliseconds(),
-	})
+	fields := oplog.Fields{
+		"leaf": leaf.ID, "services": leaf.Services, "leaf_zone": leaf.Zone, "sequence": leaf.Sequence,
+		"draining": leaf.Draining, "cold_ms": leaf.Cold.Milliseconds(),
+	}
+	if !leaf.Born.IsZero() {
+		fields["born"] = leaf.Born.UTC()
+	}
+	n.log.Decision("leaf_"+change.String(), fields)
 }
 
 // LeafGone implements discovery.Sink.
@@ -30,6 +38,14 @@
 	}
 }
 
+// LeafUnreadable implements discovery.Sink.
+func (n *Node) LeafUnreadable(id string) {
+	if n.table.Withdraw(id, time.Now()) {
+		n.leafs.Forget(id)
+		n.log.Decision("leaf_gone", oplog.Fields{"leaf": id, "reason": "its entry cannot be decoded"})
+	}
+}
+
 // Listed implements discovery.Sink: what a complete listing lacks is gone.
 func (n *Node) Listed(ids map[string]bool) {
 	for _, id := range n.table.IDs() {
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -108,6 +108,7 @@
 	gauge("node_leaf_stray_replies", func() float64 { return float64(n.pool.Stats.StrayDrops.Load()) })
 	gauge("node_store_calls", func() float64 { return float64(n.follower.Calls()) })
 	gauge("node_store_failures", func() float64 { return float64(n.follower.Failures()) })
+	gauge("node_store_entries_unreadable", func() float64 { return float64(n.follower.Unreadable()) })
 	gauge("node_store_age_seconds", func() float64 { return n.follower.Age(time.Now()).Seconds() })
 	gauge("node_log_lines_dropped", func() float64 { return float64(n.log.Dropped()) })
 	gauge("node_log_lines_summed", func() float64 { return float64(n.log.Summed()) })
--- a/pkg/replica/calls.go
+++ b/pkg/replica/calls.go
@@ -43,7 +43,10 @@
 
 // Call is a request in flight at a leaf.
 type Call struct {
-	Leaf  Leaf
+	Leaf Leaf
+	// row is the leaf's when the call began; nil: it had left. A leaf that starts
+	// again has another one.
+	row   *row
 	class string
 	start time.Time
 }
@@ -54,13 +57,14 @@
 func (t *Table) Begin(p Placement, className string, now time.Time) *Call {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if r := t.leafs[p.Leaf.ID]; r != nil {
+	r := t.leafs[p.Leaf.ID]
+	if r != nil {
 		if t.full(r, now) {
 			return nil
 		}
 		r.begin(now)
 	}
-	return &Call{Leaf: p.Leaf, class: className, start: now}
+	return &Call{Leaf: p.Leaf, row: r, class: className, start: now}
 }
 
 // Turn says whether a call's outcome changed what is believed of its leaf.
@@ -80,7 +84,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.leafs[c.Leaf.ID]
-	if r == nil {
+	if r == nil || r != c.row {
 		return Same
 	}
 	r.end(c.start)
--- a/pkg/replica/membership.go
+++ b/pkg/replica/membership.go
@@ -17,11 +17,13 @@
 	Drains
 	// Moved: address, zone or service differ.
 	Moved
+	// Reborn: the leaf has started again; what was in flight there is lost.
+	Reborn
 )
 
 // String names the change in logs.
 func (c Change) String() string {
-	return [...]string{"unchanged", "joined", "drains", "moved"}[c]
+	return [...]string{"unchanged", "joined", "drains", "moved", "reborn"}[c]
 }
 
 // departedFor bounds how long the last report of a departed leaf is
@@ -34,7 +36,12 @@
 // A draining leaf's earlier report can be delivered after its draining one.
 // Taken at face value it would put new work on a leaf that is about to exit;
 // one notices requests cut off at the end of a planned stop. So draining is
-// final for an ID, and reports with a lower sequence are dropped.
+// final for an incarnation, and its reports with a lower sequence are dropped.
+//
+// A leaf that crashed may start again under its ID, with its reports counted anew.
+// Compared by sequence alone they would all look old; one notices a leaf that gets
+// no requests for good, though it is well. So incarnations are compared first, and a
+// later one begins with a row that knows nothing of the earlier one.
 func (t *Table) Upsert(leaf Leaf, now time.Time) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -42,7 +49,11 @@
 	if r == nil {
 		return t.join(leaf, now)
 	}
-	if leaf.Sequence < r.Sequence {
+	switch {
+	case leaf.Born.After(r.Born):
+		t.replace(r, leaf, now)
+		return Reborn
+	case leaf.Born.Before(r.Born), leaf.Sequence < r.Sequence:
 		return Unchanged
 	}
 	r.lapsed = false
@@ -66,22 +77,37 @@
 
 // join adds a row for a leaf that is not in the table.
 func (t *Table) join(leaf Leaf, now time.Time) Change {
-	if was, ok := t.sequences[leaf.ID]; ok {
+	was, left := t.sequences[leaf.ID]
+	switch {
+	case left && leaf.Born.Before(was.born):
+		return Unchanged
+	case left && leaf.Born.Equal(was.born):
 		if leaf.Sequence <= was.sequence && was.draining {
 			return Unchanged
 		}
 		leaf.Draining = leaf.Draining || was.draining
-		delete(t.sequences, leaf.ID)
 	}
-	r := newRow(leaf, now)
-	t.leafs[leaf.ID] = r
-	t.attach(r)
+	delete(t.sequences, leaf.ID)
+	t.add(leaf, now)
 	if leaf.Draining {
 		return Drains
 	}
 	return Joined
 }
 
+// add makes a row for a leaf.
+func (t *Table) add(leaf Leaf, now time.Time) {
+	r := newRow(leaf, now)
+	t.leafs[leaf.ID] = r
+	t.attach(r)
+}
+
+// replace puts a new row in the place of r, whose calls in flight teach nothing more.
+func (t *Table) replace(r *row, leaf Leaf, now time.Time) {
+	t.detach(r)
+	t.add(leaf, now)
+}
+
 // attach lists r under its services.
 func (t *Table) attach(r *row) {
 	for _, name := range r.Services {
@@ -145,11 +171,27 @@
 	return true
 }
 
+// Withdraw takes over that a leaf's entry cannot be read any more: it is out of use
+// at once. It reports whether the leaf was in the table.
+//
+// Another writer may have put the entry there, for a leaf that has left. Going on with
+// the last readable one would send requests to whatever has its address now.
+func (t *Table) Withdraw(id string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.leafs[id]
+	if r == nil {
+		return false
+	}
+	t.drop(r, now)
+	return true
+}
+
 // drop forgets a row.
 func (t *Table) drop(r *row, now time.Time) {
 	t.detach(r)
 	delete(t.leafs, r.ID)
-	t.sequences[r.ID] = departed{sequence: r.Sequence, draining: r.Draining, at: now}
+	t.sequences[r.ID] = departed{born: r.Born, sequence: r.Sequence, draining: r.Draining, at: now}
 }
 
 // Sweep is the membership system: run each tick, it drops the lapsed leafs
--- a/pkg/replica/placement.go
+++ b/pkg/replica/placement.go
@@ -148,7 +148,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.leafs[c.Leaf.ID]
-	if r == nil {
+	if r == nil || r != c.row {
 		return true
 	}
 	base := float64(t.typical(c.class)) * r.slownessNow(now)
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -14,8 +14,12 @@
 
 // Leaf is a published leaf.
 type Leaf struct {
-	// ID names one incarnation: a restarted leaf has another ID.
+	// ID names the leaf. One that starts again may keep it: Born tells the
+	// incarnations apart.
 	ID string
+	// Born is when this incarnation started, by the leaf's own clock; zero: not
+	// published.
+	Born time.Time
 	// Services are what the leaf serves: one service on the users' platform,
 	// each shard that a backend server holds in an installation of the
 	// project's own.
@@ -30,7 +34,7 @@
 	Draining bool
 	// Cold is how much longer the leaf is slow after its start.
 	Cold time.Duration
-	// Sequence grows with every report of the leaf.
+	// Sequence grows with every report of one incarnation.
 	Sequence int64
 }
 
@@ -91,6 +95,7 @@
 
 // departed is what is kept of a leaf that left the list.
 type departed struct {
+	born     time.Time
 	sequence int64
 	draining bool
 	at       time.Time
--- a/pkg/replica/row.go
+++ b/pkg/replica/row.go
@@ -49,8 +49,10 @@
 	// lapsed: vanished from the list around an outage of the store.
 	lapsed bool
 
-	// starts are when the requests in flight were sent, oldest first.
+	// starts are when the requests in flight were sent, oldest first; asked: some
+	// request was ever sent.
 	starts []time.Time
+	asked  bool
 	// lastReply is when the leaf last answered anything.
 	lastReply time.Time
 
@@ -143,7 +145,10 @@
 }
 
 // begin and end keep the requests in flight.
-func (r *row) begin(now time.Time) { r.starts = append(r.starts, now) }
+func (r *row) begin(now time.Time) {
+	r.starts = append(r.starts, now)
+	r.asked = true
+}
 
 func (r *row) end(start time.Time) {
 	for i, s := range r.starts {
--- a/pkg/replica/zones.go
+++ b/pkg/replica/zones.go
@@ -86,26 +86,30 @@
 	return out
 }
 
-// anyLeaf draws a leaf of a zone that is not leaving, one that is not down if
-// there is one.
+// anyLeaf draws a leaf of a zone that is not leaving: of those that were ever sent
+// a request one that is not down, if there is one.
+//
+// The list may name leafs of services that nobody asks for, written by others, with
+// an address where nothing listens. A zone that is probed there stays suspected.
 func (t *Table) anyLeaf(zone string) (Leaf, bool) {
-	var up, down []Leaf
+	var up, down, unasked []Leaf
 	for _, r := range t.leafs {
 		switch {
 		case r.Zone != zone || r.Draining:
+		case !r.asked:
+			unasked = append(unasked, r.Leaf)
 		case r.failures >= downAfter:
 			down = append(down, r.Leaf)
 		default:
 			up = append(up, r.Leaf)
 		}
 	}
-	if len(up) == 0 {
-		up = down
-	}
-	if len(up) == 0 {
-		return Leaf{}, false
+	for _, leafs := range [][]Leaf{up, down, unasked} {
+		if len(leafs) > 0 {
+			return leafs[rand.IntN(len(leafs))], true
+		}
 	}
-	return up[rand.IntN(len(up))], true
+	return Leaf{}, false
 }
 
 // ZoneAnswered takes over that a probe of a zone was answered. It reports
