Queries to other zones go through a peer there, in one message

Each instance opens its own connections to every leaf besides.

Change: pkg/peers keeps the membership (UDP, CBOR) and a TCP connection to two peers of each other zone, drawn by rendezvous hashing. A query's first requests to a zone go to the peer as one batch, second ones alone; the peer sends them over its own connections, merges the greatest records, and returns them with the proofs when the typical time is over, then in steps; a failure at once. Texts that repeat are numbered on a connection. The decisions stay where the query is: which leaf, when a second request, which budget, which deadline. A peer that is gone, silent, slow or of another version costs no more than a leaf that is: its batches go directly from then on. A planned stop announces itself to the peers and goes on serving them.

--- a/pkg/cli/node_test.go
+++ b/pkg/cli/node_test.go
@@ -52,7 +52,7 @@
 	filled := strings.NewReplacer(
 		"{{nodeName|json}}", `"front-a-1"`, "{{zone|json}}", `"a"`, "{{listenAddrs.front|json}}", `"127.0.0.1:1"`,
 		"{{listenAddrs.readiness|json}}", `"127.0.0.1:2"`, "{{listenAddrs.control|json}}", `"127.0.0.1:3"`,
-		"{{platform.address|json}}", `"127.0.0.1:4"`, "{{ip}}", "127.0.0.1", "{{bounds.graceS}}", "6",
+		"{{platform.address|json}}", `"127.0.0.1:4"`, "{{ip}}", "127.0.0.1", "{{internalPorts.0}}", "7380", "{{seeds|json}}", `["10.1.0.9:8106","10.2.0.21:8106"]`, "{{bounds.graceS}}", "6",
 		"{{bounds.contactMs}}", "4000", "{{bounds.configApplyMs}}", "3000", "{{bounds.drainMs}}", "3000", "{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.budgetWindowS}}", "10",
 	).Replace(string(raw))
 	require.NotContains(t, filled, "{{")
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -160,7 +160,10 @@
 	log      *oplog.Log
 	stats    *Stats
 	patience *patienceTable
-	config   atomic.Pointer[routing.Config]
+	// relay is nil where queries go to all leafs directly; zone is this instance's.
+	relay  Relay
+	zone   string
+	config atomic.Pointer[routing.Config]
 	// configured is closed with the first configuration.
 	configured chan struct{}
 	// isolatedSince is when the instance was found isolated, nil when it is
@@ -183,6 +186,10 @@
 	return g, nil
 }
 
+// UseRelay lets queries of this instance, which is in the given zone, go through peers.
+// It is called before requests are served.
+func (g *Gateway) UseRelay(relay Relay, zone string) { g.relay, g.zone = relay, zone }
+
 // SetOptions puts other options in force for requests that come from now on.
 func (g *Gateway) SetOptions(opts Options) { g.opts.Store(&opts) }
 
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -16,6 +16,9 @@
 	shard   int
 	attempt int
 	reply   LeafReply
+	// merged: its records cannot be told from those of the arrivals that came with
+	// it.
+	merged bool
 }
 
 // gathering is one query over many shards under way.
@@ -34,7 +37,9 @@
 	// replies has room for every call there can be and belongs to this
 	// request alone: a reply that comes after the answer was given is dropped
 	// with the channel and cannot reach another caller.
-	replies chan arrival
+	replies chan []arrival
+	// cancels end the batches that went through peers.
+	cancels []func()
 	shards  []ShardAnswer
 	// losers ends the open calls of each shard; nil where they run on.
 	losers []context.CancelFunc
@@ -55,7 +60,7 @@
 	calls, endAll := context.WithCancel(context.WithoutCancel(ctx))
 	run := &gathering{
 		g: g, caller: ctx, calls: calls, endAll: endAll, req: req, route: route, query: query,
-		replies: make(chan arrival, len(route.Shards)*fanout.MaxAttempts),
+		replies: make(chan []arrival, len(route.Shards)*fanout.MaxAttempts),
 		shards:  make([]ShardAnswer, len(route.Shards)),
 	}
 	if g.opts.Load().EndLosers {
@@ -83,7 +88,7 @@
 
 // send starts the leaf calls that the query asks for.
 func (r *gathering) send(sends []fanout.Send) {
-	for _, s := range sends {
+	for _, s := range r.relay(sends) {
 		call := LeafCall{Leaf: s.Call.Leaf, Service: r.route.Shards[s.Shard], Request: r.req, Deadline: s.Deadline}
 		if s.Reason != fanout.First {
 			r.g.noteSecond(r.route, call, s.Reason.String())
@@ -91,12 +96,12 @@
 		ctx := r.callContext(s.Shard)
 		task := func() {
 			reply := r.g.do(ctx, call, s.Call)
-			r.replies <- arrival{shard: s.Shard, attempt: s.Attempt, reply: reply}
+			r.replies <- []arrival{{shard: s.Shard, attempt: s.Attempt, reply: reply}}
 		}
 		if err := r.g.pool.Submit(task); err != nil {
 			// The pool is full; the call was not sent.
 			r.g.table.End(s.Call, replica.Abandoned, time.Now())
-			r.replies <- arrival{shard: s.Shard, attempt: s.Attempt, reply: LeafReply{Outcome: replica.NotSent, Err: ErrNoWorker}}
+			r.replies <- []arrival{{shard: s.Shard, attempt: s.Attempt, reply: LeafReply{Outcome: replica.NotSent, Err: ErrNoWorker}}}
 		}
 	}
 }
@@ -122,12 +127,18 @@
 	started := time.Now()
 	reply := g.leafs.Do(ctx, call)
 	now := time.Now()
-	turn := g.table.End(entry, reply.Outcome, now)
-	g.stats.leaf(reply.Outcome, now.Sub(started))
+	g.ended(call, entry, reply, now.Sub(started), now)
+	return reply
+}
+
+// ended records the outcome of a leaf call that took some time.
+func (g *Gateway) ended(call LeafCall, entry *replica.Call, reply LeafReply, took time.Duration, now time.Time) {
+	turn := g.table.EndAfter(entry, reply.Outcome, took, now)
+	g.stats.leaf(reply.Outcome, took)
 	if reply.Outcome != replica.Answered && reply.Outcome != replica.Abandoned {
 		g.log.Decision("leaf_call_failed", oplog.Fields{
 			"request": call.Request.ID, "leaf": call.Leaf.ID, "service": call.Service, "leaf_zone": call.Leaf.Zone,
-			"outcome": reply.Outcome.String(), "status": reply.Status, "took_ms": now.Sub(started).Milliseconds(), "error": errText(reply.Err),
+			"outcome": reply.Outcome.String(), "status": reply.Status, "took_ms": took.Milliseconds(), "error": errText(reply.Err),
 		})
 	}
 	switch turn {
@@ -136,7 +147,6 @@
 	case replica.CameBack:
 		g.log.State("leaf_up", oplog.Fields{"leaf": call.Leaf.ID, "service": call.Service, "leaf_zone": call.Leaf.Zone})
 	}
-	return reply
 }
 
 func errText(err error) string {
@@ -157,12 +167,17 @@
 		}
 		timer.Reset(r.query.Next(now).Sub(now))
 		select {
-		case a := <-r.replies:
-			r.take(a)
+		case group := <-r.replies:
+			for _, a := range group {
+				r.take(a)
+			}
 		case <-timer.C:
 			r.send(r.query.Tick(time.Now()))
 		case <-r.caller.Done():
 			r.endAll()
+			for _, cancel := range r.cancels {
+				cancel()
+			}
 			return r.g.callerLeft(r.req, r.route)
 		}
 	}
@@ -174,7 +189,8 @@
 	switch {
 	case a.reply.Outcome != replica.Answered:
 		s.Last = &a.reply
-	case s.Reply == nil:
+	case s.Reply == nil || a.merged:
+		// Merged records take the place of an earlier reply, which stands alone.
 		s.Reply = &a.reply
 		if r.losers != nil {
 			r.losers[a.shard]()
--- /dev/null
+++ b/pkg/gateway/relay.go
@@ -0,0 +1,119 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/indigoyoke/indigoyoke/pkg/fanout"
+	"github.com/indigoyoke/indigoyoke/pkg/replica"
+	"github.com/indigoyoke/indigoyoke/pkg/routing"
+)
+
+// Relay sends requests of one query through a peer in the availability zone of their
+// leafs.
+type Relay interface {
+	// Send reports whether a peer took the batch; if not, nothing was sent. take is
+	// called with replies as they come, each call exactly once in all; the replies of
+	// one call of it belong together. cancel ends the work of a batch.
+	Send(b Batch, take func([]RelayedReply)) (cancel func(), ok bool)
+}
+
+// Batch are requests of a query to leafs of one zone.
+type Batch struct {
+	Request *Request
+	Route   *routing.Route
+	Zone    string
+	Calls   []LeafCall
+	// Deadline is when the leafs should stop working on it.
+	Deadline time.Time
+	// Flush is when the first replies are wanted, and Step how long further ones may
+	// be collected.
+	Flush, Step time.Duration
+}
+
+// RelayedReply is what became of one call of a batch.
+//
+// The records of all successes in one call of take are merged into the content of the
+// first: either all of these parts go into the answer, or none.
+type RelayedReply struct {
+	// Call is the index in Batch.Calls.
+	Call  int
+	Reply LeafReply
+	// Took is how long the leaf took, as the peer measured it.
+	Took time.Duration
+}
+
+const (
+	// flushAtTypical is when the first replies of a batch are wanted, in multiples
+	// of the typical reply time: half are in by then. Later ones save a few bytes and keep
+	// the caller from seeing which leafs are free (1.4: 2 % fewer bytes, 0.002 of worth).
+	flushAtTypical = 1.0
+	// stepAtTypical is how long further replies are collected.
+	stepAtTypical = 0.15
+)
+
+// relay hands requests to leafs of other zones to peers there, and returns the sends
+// that remain to be sent directly. First requests go together. A second one goes alone:
+// its records must be told from those of the first, whichever comes.
+func (r *gathering) relay(sends []fanout.Send) []fanout.Send {
+	if r.g.relay == nil {
+		return sends
+	}
+	zones := make(map[string][]fanout.Send)
+	var direct []fanout.Send
+	for _, s := range sends {
+		zone := s.Call.Leaf.Zone
+		switch {
+		case zone == r.g.zone:
+			direct = append(direct, s)
+		case s.Reason == fanout.First:
+			zones[zone] = append(zones[zone], s)
+		case !r.sendBatch(zone, []fanout.Send{s}):
+			direct = append(direct, s)
+		}
+	}
+	for zone, batch := range zones {
+		if !r.sendBatch(zone, batch) {
+			direct = append(direct, batch...)
+		}
+	}
+	return direct
+}
+
+// sendBatch reports whether a peer took the requests.
+func (r *gathering) sendBatch(zone string, sends []fanout.Send) bool {
+	typical := float64(r.g.table.Typical(r.route.Name))
+	b := Batch{
+		Request: r.req, Route: r.route, Zone: zone, Deadline: sends[0].Deadline,
+		Flush: time.Duration(flushAtTypical * typical), Step: time.Duration(stepAtTypical * typical),
+	}
+	for _, s := range sends {
+		b.Calls = append(b.Calls, LeafCall{Leaf: s.Call.Leaf, Service: r.route.Shards[s.Shard], Request: r.req, Deadline: s.Deadline})
+	}
+	cancel, ok := r.g.relay.Send(b, func(replies []RelayedReply) { r.relayed(sends, b.Calls, replies) })
+	if ok {
+		r.cancels = append(r.cancels, cancel)
+	}
+	return ok
+}
+
+// relayed takes over replies that belong together.
+func (r *gathering) relayed(sends []fanout.Send, calls []LeafCall, replies []RelayedReply) {
+	group := make([]arrival, 0, len(replies))
+	now := time.Now()
+	successes := 0
+	for _, reply := range replies {
+		if reply.Reply.Outcome == replica.Answered {
+			successes++
+		}
+	}
+	for _, reply := range replies {
+		s := sends[reply.Call]
+		took := reply.Took
+		if reply.Reply.Outcome == replica.PeerLost {
+			took = now.Sub(r.req.Arrived)
+		}
+		r.g.ended(calls[reply.Call], s.Call, reply.Reply, took, now)
+		group = append(group, arrival{shard: s.Shard, attempt: s.Attempt, reply: reply.Reply, merged: successes > 1})
+	}
+	r.replies <- group
+}
--- /dev/null
+++ b/pkg/gateway/relay_test.go
@@ -0,0 +1,107 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/indigoyoke/indigoyoke/pkg/errcode"
+	"github.com/indigoyoke/indigoyoke/pkg/replica"
+)
+
+// scriptedRelay hands batches to a function.
+type scriptedRelay struct {
+	send    func(b Batch, take func([]RelayedReply)) bool
+	batches atomic.Int64
+	ended   atomic.Int64
+}
+
+func (s *scriptedRelay) Send(b Batch, take func([]RelayedReply)) (func(), bool) {
+	s.batches.Add(1)
+	return func() { s.ended.Add(1) }, s.send(b, take)
+}
+
+// merged answers all calls of a batch together.
+func merged(b Batch, take func([]RelayedReply)) {
+	var group []RelayedReply
+	for i := range b.Calls {
+		content := fmt.Sprint("merged ", i)
+		group = append(group, RelayedReply{Call: i, Took: time.Millisecond, Reply: LeafReply{Outcome: replica.Answered, Content: content}})
+	}
+	take(group)
+}
+
+// The first requests to another zone go as one batch; what no peer takes goes directly.
+func TestFirstRequestsAreBatched(t *testing.T) {
+	for _, taken := range []bool{true, false} {
+		g := newGateway(t, 4, answered)
+		relay := &scriptedRelay{send: func(b Batch, take func([]RelayedReply)) bool {
+			require.Equal(t, "z", b.Zone)
+			require.Len(t, b.Calls, 4)
+			if taken {
+				merged(b, take)
+			}
+			return taken
+		}}
+		g.UseRelay(relay, "elsewhere")
+		a := ask(g, "/all/x")
+		require.Equal(t, errcode.OK, a.Code)
+		require.Zero(t, a.Missing())
+		require.EqualValues(t, 1, relay.batches.Load())
+		require.Equal(t, taken, a.Shards[0].Reply.Content == "merged 0")
+		g.UseRelay(relay, "z")
+		ask(g, "/all/x")
+		require.EqualValues(t, 1, relay.batches.Load(), "leafs of the own zone are asked directly")
+	}
+}
+
+// Symptom: an answer whose records are not those of the parts that it names. Sequence: a
+// peer is slow; a shard's second request, sent alone, is answered first; then the peer's
+// merged records come, with that shard's part among them. Cause: the first reply was kept
+// beside records that hold the other one.
+func TestMergedRecordsReplaceAnEarlierReply(t *testing.T) {
+	second := make(chan struct{}, 8)
+	g := newGateway(t, 2, answered)
+	g.UseRelay(&scriptedRelay{send: func(b Batch, take func([]RelayedReply)) bool {
+		switch {
+		case len(b.Calls) > 1:
+			go func() {
+				<-second
+				merged(b, take)
+			}()
+		case b.Calls[0].Service == "s0":
+			take([]RelayedReply{{Reply: LeafReply{Outcome: replica.Answered, Content: "alone"}}})
+			second <- struct{}{}
+		}
+		return true
+	}}, "elsewhere")
+	a := ask(g, "/all/x")
+	require.Equal(t, errcode.OK, a.Code)
+	require.Zero(t, a.Missing())
+	for i := range a.Shards {
+		require.Equal(t, fmt.Sprint("merged ", i), a.Shards[i].Reply.Content)
+	}
+}
+
+// A caller that leaves ends its batches.
+func TestLeavingCallerEndsItsBatches(t *testing.T) {
+	g := newGateway(t, 2, answered)
+	sent := make(chan struct{})
+	relay := &scriptedRelay{send: func(Batch, func([]RelayedReply)) bool {
+		close(sent)
+		return true
+	}}
+	g.UseRelay(relay, "elsewhere")
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		<-sent
+		leave()
+	}()
+	a := g.Handle(ctx, &Request{ID: "r", Host: "h", Path: "/all/x", Arrived: time.Now(), Patience: time.Minute})
+	require.Equal(t, errcode.CallerLeft, a.Code)
+	require.EqualValues(t, 1, relay.ended.Load())
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -20,6 +20,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/gateway"
 	"github.com/indigoyoke/indigoyoke/pkg/leafconn"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+	"github.com/indigoyoke/indigoyoke/pkg/peers"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
@@ -32,6 +33,8 @@
 	Source    func(storeAddress string, log *oplog.Log) discovery.Source
 	Leafs     func(pool *leafconn.Pool) gateway.Leafs
 	Door      func(g *gateway.Gateway, log *oplog.Log) http.Handler
+	// Peers translates for peers; nil: instances work alone.
+	Peers peers.Codec
 }
 
 // logDrain is how long buffered log lines may take to be written at the end.
@@ -54,6 +57,7 @@
 	status   *statusServers
 	draining atomic.Bool
 	leafs    gateway.Leafs
+	peering  *peering
 	started  time.Time
 	cancel   context.CancelFunc
 }
@@ -87,7 +91,11 @@
 	if n.status, err = n.newStatusServers(set, adapter.ReadyPath); err != nil {
 		return nil, err
 	}
+	if n.peering, err = n.newPeering(set, adapter.Peers); err != nil {
+		return nil, err
+	}
 	n.registerGauges()
+	n.registerPeers()
 	return n, nil
 }
 
@@ -154,6 +162,7 @@
 	n.log.State("started", oplog.Fields{"callers": set.Listen.Callers, "store": set.Store.Address, "took_ms": time.Since(n.started).Milliseconds()})
 	n.status.start(n.log)
 	go n.front.Run()
+	n.peering.start()
 	go n.follower.Run(ctx)
 	go n.runTicks(ctx)
 }
@@ -167,12 +176,14 @@
 func (n *Node) Stop() {
 	set := n.set.Load()
 	n.draining.Store(true)
+	n.peering.leave()
 	n.front.Drain()
 	time.Sleep(settings.Duration(set.Stop.LeaveMs))
 	ctx, cancel := context.WithTimeout(context.Background(), set.StopBudget())
 	defer cancel()
 	n.front.Stop(ctx)
 	n.cancel()
+	n.peering.close()
 	n.gateway.Close()
 	n.log.State("stopped", oplog.Fields{"in_flight": n.gateway.InFlight()})
 	n.log.Close(logDrain)
--- /dev/null
+++ b/pkg/node/peers.go
@@ -0,0 +1,139 @@
+package node
+
+import (
+	"net"
+	"strconv"
+
+	"github.com/indigoyoke/indigoyoke/pkg/front"
+	"github.com/indigoyoke/indigoyoke/pkg/membership"
+	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+	"github.com/indigoyoke/indigoyoke/pkg/peers"
+	"github.com/indigoyoke/indigoyoke/pkg/settings"
+)
+
+// peering is this instance's part in the deployment; nil where it works alone.
+type peering struct {
+	agent  *peers.Peers
+	server *peers.Server
+}
+
+// newPeering listens for peers, if the settings say where.
+func (n *Node) newPeering(set *settings.Node, codec peers.Codec) (*peering, error) {
+	if set.Peers.Listen == "" || codec == nil {
+		return nil, nil
+	}
+	ln, err := net.Listen("tcp", set.Peers.Listen)
+	if err != nil {
+		return nil, err
+	}
+	// Datagrams come to the port that connections come to.
+	addr := ln.Addr().(*net.TCPAddr)
+	udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: addr.IP, Port: addr.Port})
+	if err != nil {
+		_ = ln.Close() // The first error says more.
+		return nil, err
+	}
+	server, err := peers.NewServer(front.Resilient(ln), n.table, n.leafs, codec, set.Limits.Workers, n.log)
+	if err != nil {
+		return nil, err
+	}
+	self := membership.Member{Name: set.Name, Addr: ln.Addr().String(), Zone: set.Zone}
+	agent := peers.New(self, seedAddrs(set.Peers.Seeds, addr.Port), udp, codec, n.log)
+	if set.Peers.Relay {
+		n.gateway.UseRelay(agent, set.Zone)
+	}
+	return &peering{agent: agent, server: server}, nil
+}
+
+// seedAddrs are the peers' addresses of the instances that the seeds name.
+func seedAddrs(seeds []string, port int) []string {
+	var out []string
+	for _, seed := range seeds {
+		host, own, err := net.SplitHostPort(seed)
+		if err != nil {
+			continue // Checked at load.
+		}
+		if port != 0 {
+			own = strconv.Itoa(port)
+		}
+		out = append(out, net.JoinHostPort(host, own))
+	}
+	return out
+}
+
+// start serves in the background.
+func (p *peering) start() {
+	if p == nil {
+		return
+	}
+	go p.server.Run()
+	go p.agent.Run()
+}
+
+// leave tells the peers that this instance leaves; it goes on serving them.
+func (p *peering) leave() {
+	if p != nil {
+		p.agent.Leave()
+	}
+}
+
+// close ends all that is left.
+func (p *peering) close() {
+	if p == nil {
+		return
+	}
+	p.agent.Close()
+	p.server.Close()
+}
+
+// MemberState is a peer's row in the state dump.
+type MemberState struct {
+	Name        string `json:"name"`
+	Zone        string `json:"zone"`
+	Addr        string `json:"addr"`
+	Status      string `json:"status"`
+	Incarnation uint64 `json:"incarnation"`
+}
+
+// state lists the peers for the state dump.
+func (p *peering) state() []MemberState {
+	if p == nil {
+		return nil
+	}
+	var out []MemberState
+	for _, m := range p.agent.Members() {
+		out = append(out, MemberState{Name: m.Name, Zone: m.Zone, Addr: m.Addr, Status: m.Status.String(), Incarnation: m.Incarnation})
+	}
+	return out
+}
+
+// connected lists the peers that queries may go through.
+func (p *peering) connected() []string {
+	if p == nil {
+		return nil
+	}
+	return p.agent.Connected()
+}
+
+// registerPeers registers the metrics of the peers.
+func (n *Node) registerPeers() {
+	if n.peering == nil {
+		return
+	}
+	gauge := func(name string, f func() float64) { n.metrics.NewGauge(name, f) }
+	gauge("node_peers_usable", func() float64 {
+		count := 0
+		for _, m := range n.peering.agent.Members() {
+			if m.Usable() {
+				count++
+			}
+		}
+		return float64(count)
+	})
+	gauge("node_batches_sent", func() float64 { return float64(n.peering.agent.Sent.Load()) })
+	gauge("node_batches_direct", func() float64 { return float64(n.peering.agent.Fallbacks.Load()) })
+	gauge("node_peers_silent", func() float64 { return float64(n.peering.agent.Silent.Load()) })
+	gauge("node_batches_served", func() float64 { return float64(n.peering.server.Batches.Load()) })
+	gauge("node_batch_calls_served", func() float64 { return float64(n.peering.server.Calls.Load()) })
+	n.log.State("peering", oplog.Fields{"listen": n.peering.agent.Self().Addr})
+}
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -67,6 +67,9 @@
 	InFlight      int64               `json:"in_flight"`
 	OpenConns     int64               `json:"open_leaf_connections"`
 	Leafs         []replica.LeafState `json:"leafs"`
+	Members       []MemberState       `json:"members"`
+	// Peers are the names of the peers that are connected.
+	Peers []string `json:"peers"`
 }
 
 // State returns the dump served on the control address.
@@ -75,7 +78,7 @@
 	s := State{
 		Name: set.Name, Zone: set.Zone, Ready: n.ready(), Draining: n.draining.Load(),
 		UptimeMs: time.Since(n.started).Milliseconds(), InFlight: n.gateway.InFlight(),
-		OpenConns: n.pool.Stats.OpenConns.Load(), Leafs: n.table.Dump(time.Now()),
+		OpenConns: n.pool.Stats.OpenConns.Load(), Leafs: n.table.Dump(time.Now()), Members: n.peering.state(), Peers: n.peering.connected(),
 	}
 	if c := n.gateway.Config(); c != nil {
 		s.ConfigVersion, s.Routes = c.Version, c.RouteCount()
--- /dev/null
+++ b/pkg/peers/frames.go
@@ -0,0 +1,202 @@
+package peers
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/indigoyoke/indigoyoke/pkg/replica"
+)
+
+// version is the protocol's. A peer of another version is not spoken to; its leafs are
+// asked directly until it is replaced.
+const version = 1
+
+// maxFrame bounds a frame in bytes: the largest request body and the parts of a few
+// hundred shards.
+const maxFrame = 8 << 20
+
+// Errors of the protocol.
+var (
+	errVersion    = errors.New("peer speaks another version")
+	errFrameSize  = errors.New("frame over the limit")
+	errUnknownRef = errors.New("frame refers to a text that was not sent")
+)
+
+// hello is the first frame on a connection, from the caller.
+type hello struct {
+	_       struct{} `cbor:",toarray"`
+	Version int
+	Name    string
+	Zone    string
+}
+
+// ref is a text that is sent whole once on a connection and then by its number; number
+// 0 is a text that is not kept.
+//
+// Most of a leaf request's bytes are the same in each: with names of leafs and headers
+// sent once, a request for four shards takes 100 bytes in place of 860.
+type ref struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint16
+	Text   string
+}
+
+// maxRefs bounds what both ends keep for a connection.
+const maxRefs = 4096
+
+// refWriter numbers texts.
+type refWriter struct{ numbers map[string]uint16 }
+
+func (w *refWriter) ref(text string) ref {
+	if n, ok := w.numbers[text]; ok {
+		return ref{Number: n}
+	}
+	if text == "" || len(w.numbers) >= maxRefs {
+		return ref{Text: text}
+	}
+	n := uint16(len(w.numbers) + 1)
+	w.numbers[text] = n
+	return ref{Number: n, Text: text}
+}
+
+// refReader finds them again.
+type refReader struct{ texts map[uint16]string }
+
+func (r *refReader) text(f ref) (string, error) {
+	switch {
+	case f.Number == 0:
+		return f.Text, nil
+	case f.Text != "" && len(r.texts) < maxRefs:
+		r.texts[f.Number] = f.Text
+		return f.Text, nil
+	}
+	text, ok := r.texts[f.Number]
+	if !ok {
+		return "", errUnknownRef
+	}
+	return text, nil
+}
+
+// batch asks a peer to send one request to several leafs. With no leafs it cancels the
+// batch of that number.
+type batch struct {
+	_         struct{} `cbor:",toarray"`
+	Number    uint64
+	RequestID string
+	Method    ref
+	Host      ref
+	Target    string
+	// Header holds the names and values in turn. IDHeader is the name of the one that
+	// holds the request's ID, which is not among them; "" for none.
+	Header   []ref
+	IDHeader ref
+	Body     []byte
+	// LeftMs is how long the leafs may work; FlushUs when the first replies are
+	// sent back at the latest, StepUs how long further ones are collected.
+	LeftMs  uint32
+	FlushUs uint32
+	StepUs  uint32
+	TopK    uint32
+	// Leafs are IDs and addresses: the peer may not have heard of a leaf yet.
+	Leafs []ref
+}
+
+// leafText is a leaf's ID and address.
+func leafText(l replica.Leaf) string { return l.ID + " " + l.Addr }
+
+// leafOf is the inverse of leafText.
+func leafOf(text string) replica.Leaf {
+	id, addr, _ := strings.Cut(text, " ")
+	return replica.Leaf{ID: id, Addr: addr}
+}
+
+// flush brings replies of a batch. The records of all its parts are merged into one
+// body.
+type flush struct {
+	_      struct{} `cbor:",toarray"`
+	Number uint64
+	// HeldUs is how long the peer has had the batch.
+	HeldUs uint32
+	Parts  []part
+	Body   []byte
+}
+
+// part is the reply of one leaf.
+type part struct {
+	_       struct{} `cbor:",toarray"`
+	Leaf    uint16
+	Outcome uint8
+	Status  uint16
+	TookUs  uint32
+	Proof   string
+}
+
+// Request is a caller's request as it goes to leafs.
+type Request struct {
+	Method, Target, Host string
+	Header               http.Header
+	Body                 []byte
+}
+
+// pairs lists a header as names and values in turn, without one that holds the request's
+// ID, whose name it returns.
+func pairs(h http.Header, id string) (out []string, idName string) {
+	for name, values := range h {
+		if idName == "" && len(values) == 1 && values[0] == id {
+			idName = name
+			continue
+		}
+		for _, v := range values {
+			out = append(out, name, v)
+		}
+	}
+	return out, idName
+}
+
+// fromPairs is the inverse of pairs.
+func fromPairs(list []string) http.Header {
+	h := make(http.Header, len(list)/2)
+	for i := 0; i+1 < len(list); i += 2 {
+		h[list[i]] = append(h[list[i]], list[i+1])
+	}
+	return h
+}
+
+// writeFrame writes one frame: its size, and its content in CBOR.
+func writeFrame(w *bufio.Writer, v any) error {
+	raw, err := cbor.Marshal(v)
+	if err != nil {
+		return err
+	}
+	size := binary.AppendUvarint(nil, uint64(len(raw)))
+	if _, err := w.Write(size); err != nil {
+		return err
+	}
+	if _, err := w.Write(raw); err != nil {
+		return err
+	}
+	return w.Flush()
+}
+
+// readFrame reads one frame into v.
+func readFrame(r *bufio.Reader, v any) error {
+	size, err := binary.ReadUvarint(r)
+	if err != nil {
+		return err
+	}
+	if size > maxFrame {
+		return fmt.Errorf("%w: %d bytes", errFrameSize, size)
+	}
+	raw := make([]byte, size)
+	if _, err := io.ReadFull(r, raw); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(raw, v)
+}
--- /dev/null
+++ b/pkg/peers/peers.go
@@ -0,0 +1,329 @@
+// Package peers lets the instances of a deployment act together. An agent keeps the
+// membership by datagrams; a query's requests to leafs of another availability zone go
+// in one message to a peer there, which sends them on and returns the merged records.
+//
+// Why: a request to a leaf takes about 215 bytes and its reply 190 besides the records,
+// nearly the same for each of a query's shards, and bytes between zones are billed. The
+// decisions stay with the instance that has the query: which leaf is asked, when a
+// second one is, what counts against a budget. A peer only sends and merges.
+//
+// Peers are not authenticated: whoever reaches an instance's internal port also reaches
+// the leafs. The deployment's network keeps callers from both.
+package peers
+
+import (
+	"cmp"
+	"errors"
+	"hash/fnv"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/indigoyoke/indigoyoke/pkg/gateway"
+	"github.com/indigoyoke/indigoyoke/pkg/membership"
+	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+)
+
+// errPeerLost: the peer that a call went through is gone, or did not answer.
+var errPeerLost = errors.New("the peer did not return a reply")
+
+const (
+	// tick is how often timers run and connections are looked after.
+	tick = 100 * time.Millisecond
+	// datagram bounds a membership message.
+	datagram = 2048
+	// avoidFor is how long a peer that was silent, refused or ended its connection
+	// is not given batches.
+	avoidFor = 2 * time.Second
+	// wayMost is how much longer than the peer accounts for a batch may take on
+	// average: ten round trips between zones. A peer starved of processor time takes
+	// longer, and its leafs are better asked directly.
+	wayMost = 25 * time.Millisecond
+)
+
+// Peers is this instance's part in the deployment. It implements gateway.Relay.
+type Peers struct {
+	self  membership.Member
+	codec Codec
+	log   *oplog.Log
+	udp   *net.UDPConn
+
+	mu      sync.Mutex
+	members *membership.State
+	conns   map[string]*clientConn
+	dialing map[string]bool
+	avoid   map[string]time.Time
+
+	// Sent and Fallbacks count batches that went through a peer, and those that
+	// found none.
+	Sent, Fallbacks, Silent atomic.Int64
+	done                    chan struct{}
+	close                   sync.Once
+}
+
+// New returns the agent of an instance that listens for datagrams on udp.
+func New(self membership.Member, seeds []string, udp *net.UDPConn, codec Codec, log *oplog.Log) *Peers {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &Peers{
+		self: self, codec: codec, log: log, udp: udp,
+		members: membership.New(self, seeds, membership.Defaults(), rng, time.Now()),
+		conns:   make(map[string]*clientConn), dialing: make(map[string]bool), avoid: make(map[string]time.Time),
+		done: make(chan struct{}),
+	}
+}
+
+// Run keeps the membership and the connections until Close.
+func (p *Peers) Run() {
+	go p.receive()
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			p.transmit(p.step(now))
+			p.connect(now)
+		case <-p.done:
+			return
+		}
+	}
+}
+
+// step runs the timers of the membership.
+func (p *Peers) step(now time.Time) []membership.Envelope {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := p.members.Tick(now)
+	p.logChanges()
+	return out
+}
+
+// logChanges records what is newly believed of members; mu is held.
+func (p *Peers) logChanges() {
+	for _, m := range p.members.Changes() {
+		p.log.Decision("member_"+m.Status.String(), oplog.Fields{
+			"member": m.Name, "member_zone": m.Zone, "addr": m.Addr, "incarnation": m.Incarnation,
+		})
+	}
+}
+
+// receive takes over datagrams.
+func (p *Peers) receive() {
+	buffer := make([]byte, datagram)
+	for {
+		n, _, err := p.udp.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// An unreachable peer may be reported here; the others go on.
+			time.Sleep(time.Millisecond)
+			continue
+		}
+		var m membership.Message
+		if err := cbor.Unmarshal(buffer[:n], &m); err != nil {
+			p.log.Decision("member_message_malformed", oplog.Fields{"error": err.Error()})
+			continue
+		}
+		p.mu.Lock()
+		out := p.members.Receive(m, time.Now())
+		p.logChanges()
+		p.mu.Unlock()
+		p.transmit(out)
+	}
+}
+
+// transmit sends datagrams. A lost one is the protocol's business.
+func (p *Peers) transmit(out []membership.Envelope) {
+	for _, e := range out {
+		raw, err := cbor.Marshal(e.Message)
+		if err != nil {
+			p.log.Decision("member_message_failed", oplog.Fields{"error": err.Error()})
+			continue
+		}
+		to, err := net.ResolveUDPAddr("udp4", e.To)
+		if err != nil {
+			p.log.Decision("member_message_failed", oplog.Fields{"to": e.To, "error": err.Error()})
+			continue
+		}
+		_, _ = p.udp.WriteToUDP(raw, to) // As above.
+	}
+}
+
+// Leave tells the others that this instance leaves.
+func (p *Peers) Leave() {
+	p.mu.Lock()
+	out := p.members.Leave(time.Now())
+	p.mu.Unlock()
+	p.transmit(out)
+}
+
+// Close ends the agent and its connections.
+func (p *Peers) Close() {
+	p.close.Do(func() { close(p.done) })
+	_ = p.udp.Close() // Nothing is left to be done about an error.
+	p.mu.Lock()
+	conns := p.conns
+	p.conns = make(map[string]*clientConn)
+	p.mu.Unlock()
+	for _, c := range conns {
+		c.end(net.ErrClosed)
+	}
+}
+
+// Self is this instance as its peers know it.
+func (p *Peers) Self() membership.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members.Self()
+}
+
+// Members lists the other instances that are known.
+func (p *Peers) Members() []membership.Member {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.members.Members()
+}
+
+// Connected lists the peers that are connected.
+func (p *Peers) Connected() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Sorted(maps.Keys(p.conns))
+}
+
+// Send implements gateway.Relay.
+func (p *Peers) Send(b gateway.Batch, take func([]gateway.RelayedReply)) (cancel func(), ok bool) {
+	if c := p.conn(b.Zone, time.Now()); c != nil {
+		cancel, ok = c.send(b, take)
+	}
+	if !ok {
+		p.Fallbacks.Add(1)
+		return nil, false
+	}
+	p.Sent.Add(1)
+	return cancel, true
+}
+
+// conn is the connection to the peer of a zone, nil without one that is well.
+func (p *Peers) conn(zone string, now time.Time) *clientConn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, m := range p.chosen(zone, now) {
+		c := p.conns[m.Name]
+		if c == nil {
+			continue
+		}
+		usable, _, way := c.state()
+		if usable && way < wayMost {
+			return c
+		}
+		if usable {
+			p.avoid[m.Name] = now.Add(avoidFor)
+			c.forgetWay()
+		}
+	}
+	return nil
+}
+
+// spare is how many peers of a zone are kept connected: the one in use, and one more for
+// when it fails.
+const spare = 2
+
+// chosen are the peers of a zone that this instance uses, the first one first. They are
+// drawn by rendezvous hashing, so that each instance keeps to a few, all are spread
+// alike, and a peer that goes moves only those that used it. mu is held.
+func (p *Peers) chosen(zone string, now time.Time) []membership.Member {
+	var fit []membership.Member
+	for _, m := range p.members.Members() {
+		if m.Zone == zone && m.Usable() && !now.Before(p.avoid[m.Name]) {
+			fit = append(fit, m)
+		}
+	}
+	slices.SortFunc(fit, func(a, b membership.Member) int { return cmp.Compare(p.weight(b), p.weight(a)) })
+	return fit[:min(len(fit), spare)]
+}
+
+// weight is how much this instance prefers a peer.
+func (p *Peers) weight(m membership.Member) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(p.self.Name + "/" + m.Name)) // Never fails.
+	return h.Sum64()
+}
+
+// connect opens the connections that are to be used and closes those that are not.
+func (p *Peers) connect(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	wanted := make(map[string]bool)
+	for _, zone := range p.zones() {
+		for _, m := range p.chosen(zone, now) {
+			wanted[m.Name] = true
+			if p.conns[m.Name] == nil && !p.dialing[m.Name] {
+				p.dialing[m.Name] = true
+				go p.open(m)
+			}
+		}
+	}
+	for name, c := range p.conns {
+		if _, open, _ := c.state(); !wanted[name] && open == 0 {
+			delete(p.conns, name)
+			go c.end(net.ErrClosed)
+		}
+	}
+}
+
+// zones lists the other zones that have members; mu is held.
+func (p *Peers) zones() []string {
+	var out []string
+	for _, m := range p.members.Members() {
+		if m.Zone != p.self.Zone && !slices.Contains(out, m.Zone) {
+			out = append(out, m.Zone)
+		}
+	}
+	return out
+}
+
+// open connects to a peer.
+func (p *Peers) open(m membership.Member) {
+	c, err := dial(m, p.self, p.codec)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.dialing, m.Name)
+	if err != nil {
+		p.avoid[m.Name] = time.Now().Add(avoidFor)
+		p.log.Decision("peer_unreached", oplog.Fields{"peer": m.Name, "peer_zone": m.Zone, "error": err.Error()})
+		return
+	}
+	c.silent, c.ended = p.silent, p.ended
+	p.conns[m.Name] = c
+	go c.read()
+	p.log.Decision("peer_connected", oplog.Fields{"peer": m.Name, "peer_zone": m.Zone})
+}
+
+// silent avoids a peer that does not answer in time.
+func (p *Peers) silent(c *clientConn) {
+	p.Silent.Add(1)
+	p.mu.Lock()
+	p.avoid[c.peer.Name] = time.Now().Add(avoidFor)
+	p.mu.Unlock()
+	p.log.Decision("peer_silent", oplog.Fields{"peer": c.peer.Name, "peer_zone": c.peer.Zone, "avoided_ms": avoidFor.Milliseconds()})
+}
+
+// ended forgets a connection.
+func (p *Peers) ended(c *clientConn, err error) {
+	p.mu.Lock()
+	if p.conns[c.peer.Name] == c {
+		delete(p.conns, c.peer.Name)
+		p.avoid[c.peer.Name] = time.Now().Add(avoidFor)
+	}
+	p.mu.Unlock()
+	if !errors.Is(err, net.ErrClosed) {
+		p.log.Decision("peer_lost", oplog.Fields{"peer": c.peer.Name, "peer_zone": c.peer.Zone, "error": err.Error()})
+	}
+}
--- a/pkg/replica/calls.go
+++ b/pkg/replica/calls.go
@@ -28,17 +28,23 @@
 	// Abandoned: given up from this side; the leaf takes at least as long as
 	// was waited.
 	Abandoned
+	// PeerLost: the peer that the request went through did not return a reply; it
+	// may have run, and nothing is known of the leaf.
+	PeerLost
+	// PeerRefused: the peer did not send the request; not run, and nothing is known
+	// of the leaf.
+	PeerRefused
 )
 
 // String names the outcome in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"answered", "failed", "refused", "misdirected", "not_sent", "broken", "timed_out", "crowded", "abandoned"}[o]
+	return [...]string{"answered", "failed", "refused", "misdirected", "not_sent", "broken", "timed_out", "crowded", "abandoned", "peer_lost", "peer_refused"}[o]
 }
 
 // NotRun reports whether the outcome is certain proof that the request did
 // not run and will not.
 func (o Outcome) NotRun() bool {
-	return o == Refused || o == Misdirected || o == NotSent
+	return o == Refused || o == Misdirected || o == NotSent || o == PeerRefused
 }
 
 // Call is a request in flight at a leaf.
@@ -81,6 +87,12 @@
 
 // End takes over what became of a call.
 func (t *Table) End(c *Call, outcome Outcome, now time.Time) Turn {
+	return t.EndAfter(c, outcome, now.Sub(c.start), now)
+}
+
+// EndAfter is End for a call whose leaf took less time than has passed since: a peer
+// that it went through has kept the reply for others.
+func (t *Table) EndAfter(c *Call, outcome Outcome, took time.Duration, now time.Time) Turn {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.leafs[c.Leaf.ID]
@@ -89,7 +101,7 @@
 	}
 	r.end(c.start)
 	wasUp := r.failures < downAfter
-	t.learn(r, c, outcome, now)
+	t.learn(r, c, outcome, took, now)
 	isUp := r.failures < downAfter
 	switch {
 	case wasUp && !isUp:
@@ -101,8 +113,7 @@
 }
 
 // learn updates what is known of r.
-func (t *Table) learn(r *row, c *Call, outcome Outcome, now time.Time) {
-	took := now.Sub(c.start)
+func (t *Table) learn(r *row, c *Call, outcome Outcome, took time.Duration, now time.Time) {
 	switch outcome {
 	case Answered:
 		r.answered(now)
--- a/pkg/replica/membership.go
+++ b/pkg/replica/membership.go
@@ -217,6 +217,17 @@
 	return gone
 }
 
+// Leaf returns a leaf as it is listed.
+func (t *Table) Leaf(id string) (leaf Leaf, known bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.leafs[id]
+	if r == nil {
+		return Leaf{}, false
+	}
+	return r.Leaf, true
+}
+
 // IDs lists the leafs in the table.
 func (t *Table) IDs() []string {
 	t.mu.Lock()
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -13,6 +13,7 @@
 	Second NodeSecond   `yaml:"second_requests"`
 	Answer NodeAnswer   `yaml:"answers"`
 	Leafs  NodeLeafs    `yaml:"leafs"`
+	Peers  NodePeers    `yaml:"peers"`
 	Limits NodeLimits   `yaml:"limits"`
 	Log    NodeLog      `yaml:"log"`
 	Tick   int          `yaml:"tick_ms"`
@@ -87,6 +88,18 @@
 	MaxReplyBytes   int     `yaml:"max_reply_bytes"`
 }
 
+// NodePeers says how the instances of a deployment reach each other.
+type NodePeers struct {
+	// Listen (host:port, the same port on all instances) takes datagrams and
+	// connections of peers; "": this instance works alone.
+	Listen string `yaml:"listen"`
+	// Seeds are addresses of some instances, which may be stale. Only the hosts
+	// count.
+	Seeds []string `yaml:"seeds"`
+	// Relay sends queries' requests to other zones through peers there.
+	Relay bool `yaml:"relay"`
+}
+
 // NodeLimits bounds what an instance holds at once.
 type NodeLimits struct {
 	MaxInFlight    int `yaml:"max_in_flight"`
@@ -189,6 +202,7 @@
 			LapseGraceMs:  2300,
 			MaxReplyBytes: 4 << 20,
 		},
+		Peers: NodePeers{Relay: true},
 		// An instance may open 4,100 descriptors, 200 of them for files; 900
 		// are left for leafs, the store and operators.
 		Limits: NodeLimits{MaxInFlight: 400, Workers: 4096, MaxConnections: 3000},
@@ -217,6 +231,8 @@
 		hostPort("listen.readiness", n.Listen.Readiness),
 		optionalHostPort("listen.control", n.Listen.Control),
 		optionalHostPort("listen.metrics", n.Listen.Metrics),
+		optionalHostPort("peers.listen", n.Peers.Listen),
+		hostPorts("peers.seeds", n.Peers.Seeds),
 		hostPort("store.address", n.Store.Address),
 		between("store.watch_wait_ms", n.Store.WatchWaitMs, 100, 30000),
 		between("store.coalesce_ms", n.Store.CoalesceMs, 0, 10000),
@@ -260,6 +276,15 @@
 	)
 }
 
+func hostPorts(field string, list []string) error {
+	for _, v := range list {
+		if err := hostPort(field, v); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func optionalHostPort(field, v string) error {
 	if v == "" {
 		return nil
