--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -90,37 +90,6 @@
 	return q.sendFirst(found, now), nil
 }
 
-// release starts a query that is held, once there is room.
-//
-// A look costs a placement of every shard, so all queries of a route that are held share
-// one look each few milliseconds: a hundred of them would use up a small processor.
-func (q *Query) release(now time.Time) []Send {
-	if !q.table.AdmitLook(q.route.Name, now) {
-		return nil
-	}
-	sends, refusal := q.admit(now, q.opts.HeldChance)
-	if refusal != nil {
-		return nil
-	}
-	q.held = false
-	q.overdue = true
-	return sends
-}
-
-// heldEnd is when a held query has waited for room long enough.
-func (q *Query) heldEnd() time.Time {
-	return q.softEnd.Add(time.Duration(q.opts.HeldWait * float64(q.hardEnd.Sub(q.softEnd))))
-}
-
-// timeLeft is how long the leafs have for an answer at the target: of a query that is
-// held, were it new.
-func (q *Query) timeLeft(now time.Time) time.Duration {
-	if q.held {
-		return q.route.TargetLatency - q.opts.AnswerMargin
-	}
-	return q.softEnd.Sub(now)
-}
-
 // place looks for a leaf of every shard. A query that waits for every shard also
 // waits for a free connection: leaving the shard out, or asking the caller to come
 // again, would only turn a short burst into missing shards.
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -153,7 +153,7 @@
 // A query whose leafs all failed ends at once when none is left, and without budget
 // when half of the time after the target is over: not held to its deadline.
 func TestFailedShardsEndTheQueryInTime(t *testing.T) {
-	q, table := fixture()
+	q, _ := fixture()
 	startAll(t, q)
 	for i := range 2 {
 		require.Len(t, q.Reply(i, 0, replica.Broken, at(5)), 1, "the other leaf is asked")
@@ -165,7 +165,7 @@
 	require.Empty(t, q.Tick(at(1600)))
 	require.Equal(t, Insufficient, q.State(at(1600)))
 
-	q, table = fixture()
+	q, table := fixture()
 	startAll(t, q)
 	for _, id := range []string{"a0", "a1", "b0", "b1"} {
 		table.Remove(id, at(3))
--- a/pkg/fanout/progress.go
+++ b/pkg/fanout/progress.go
@@ -83,75 +83,6 @@
 	return q.makeUp(q.second(nil, i, Repeat, now), now)
 }
 
-// makeUp asks shards that were given up, once enough can only be covered late.
-//
-// A shard is left out so that the answer is in time. If other shards then fail, the
-// query would end with too few, although its caller waits seconds more and the shard
-// was never asked; one notices queries that fail at the target (168 of a day's 4,000,
-// 86 of them with shards that were never asked). A late answer is worth more to the
-// caller than none. Only as many are asked as are lacking, those that nothing was sent
-// for first: their first request is on no budget.
-func (q *Query) makeUp(sends []Send, now time.Time) []Send {
-	if !q.overdue && !q.canOnlyBeLate(now) {
-		return sends
-	}
-	q.overdue = true
-	if !now.Before(q.lateEnd()) {
-		return sends
-	}
-	lack := q.need - q.hopeful()
-	for i := range q.shards {
-		if s := &q.shards[i]; lack > 0 && s.out && len(s.attempts) == 0 {
-			s.out = false
-			lack--
-			sends = q.first(sends, i, now)
-		}
-	}
-	for i := range q.shards {
-		if s := &q.shards[i]; lack > 0 && s.out && q.canAskAgain(i, now) {
-			s.out = false
-			lack--
-			s.lookAt = now.Add(retryStep)
-		}
-	}
-	return sends
-}
-
-// canOnlyBeLate reports whether too few shards can be covered by the target.
-func (q *Query) canOnlyBeLate(now time.Time) bool {
-	if !q.aimed() || q.covered >= q.need {
-		return false
-	}
-	return !now.Before(q.softEnd) || q.hopeful() < q.need
-}
-
-// hopeful is how many shards are covered or still asked.
-func (q *Query) hopeful() int {
-	n := q.covered
-	for i := range q.shards {
-		if !q.shards[i].covered && !q.shards[i].out {
-			n++
-		}
-	}
-	return n
-}
-
-// canAskAgain reports whether shard i, of which every request failed, has a leaf that
-// may be sent another one.
-func (q *Query) canAskAgain(i int, now time.Time) bool {
-	s := &q.shards[i]
-	if s.covered || len(s.attempts) == 0 {
-		return false
-	}
-	_, v := q.another(s, q.route.Shards[i], now)
-	return v != replica.NoLeaf
-}
-
-// lateEnd is when a late query stops waiting for room to ask again.
-func (q *Query) lateEnd() time.Time {
-	return q.softEnd.Add(time.Duration(q.opts.LateWait * float64(q.hardEnd.Sub(q.softEnd))))
-}
-
 // second adds another request for shard i to sends if the route, the budget and the
 // leafs allow it; otherwise the shard is looked at again a little later, or
 // left out.
@@ -312,15 +243,6 @@
 	return Running
 }
 
-// waits is the state of a query that is held: it ends, unrun, while its caller still
-// has time to come again.
-func (q *Query) waits(now time.Time) State {
-	if now.Before(q.heldEnd()) {
-		return Running
-	}
-	return Insufficient
-}
-
 // Covered is how many shards are covered, and Need how many must be.
 func (q *Query) Covered() int { return q.covered }
 
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -167,6 +167,10 @@
 	return out
 }
 
+// leaveTold is how many members a leaving one tells itself; the others hear of it from
+// those, within 1 to 2 s (30 members, six told).
+const leaveTold = 64
+
 // Leave makes this instance say that it leaves.
 func (s *State) Leave(now time.Time) []Envelope {
 	s.leaving = true
@@ -174,7 +178,7 @@
 	s.self.Incarnation++
 	s.spread(s.self)
 	var out []Envelope
-	for _, m := range s.pick(2*s.opts.Helpers, "", Alive, Suspect) {
+	for _, m := range s.pick(leaveTold, "", Alive, Suspect) {
 		out = append(out, s.envelope(m.Addr, Message{Kind: Ping, Seq: s.next()}))
 	}
 	return out
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -182,6 +182,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), set.StopBudget())
 	defer cancel()
 	n.front.Stop(ctx)
+	n.peering.drain(ctx)
 	n.cancel()
 	n.peering.close()
 	n.gateway.Close()
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"net"
 	"strconv"
 
@@ -77,6 +78,13 @@
 	}
 }
 
+// drain waits for the work that is done for peers.
+func (p *peering) drain(ctx context.Context) {
+	if p != nil {
+		p.server.Drain(ctx)
+	}
+}
+
 // close ends all that is left.
 func (p *peering) close() {
 	if p == nil {
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -211,6 +211,31 @@
 	}
 }
 
+// A planned stop waits for what is done for peers.
+func TestServerDrains(t *testing.T) {
+	release := make(chan struct{})
+	b := newBench(t, func(_ context.Context, call gateway.LeafCall) gateway.LeafReply {
+		<-release
+		return answered(call)
+	})
+	got := make(sink, 4)
+	b.conn.send(message(time.Second, leafs("a")), got.take)
+	require.Eventually(t, func() bool { return len(b.leafs.calls()) == 1 }, 5*time.Second, time.Millisecond)
+	drained := make(chan struct{})
+	go func() {
+		b.server.Drain(t.Context())
+		close(drained)
+	}()
+	select {
+	case <-drained:
+		t.Fatal("a batch is under way")
+	case <-time.After(5 * drainStep):
+	}
+	close(release)
+	require.Equal(t, replica.Answered, (<-got)[0].Reply.Outcome)
+	<-drained
+}
+
 // A leaf that the peer knows to drain gets nothing, and it certainly did not run; one
 // that it has not heard of is asked at the address that the caller knows.
 func TestPeerKnowsLeafsBetterOrNotAtAll(t *testing.T) {
--- a/pkg/peers/server.go
+++ b/pkg/peers/server.go
@@ -37,8 +37,9 @@
 	codec    Codec
 	pool     *ants.Pool
 	log      *oplog.Log
-	// Batches and Calls count what was served.
+	// Batches and Calls count what was served; active are the batches under way.
 	Batches, Calls atomic.Int64
+	active         atomic.Int64
 
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
@@ -80,6 +81,23 @@
 // acceptPause is how long accepting waits after an error.
 const acceptPause = 50 * time.Millisecond
 
+// drainStep is how often Drain looks whether all batches have ended.
+const drainStep = 10 * time.Millisecond
+
+// Drain waits until no batch is under way, or ctx ends. Peers that have heard that this
+// instance leaves send no new ones.
+func (s *Server) Drain(ctx context.Context) {
+	ticker := time.NewTicker(drainStep)
+	defer ticker.Stop()
+	for s.active.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Close ends the listener and the connections.
 func (s *Server) Close() {
 	_ = s.listener.Close() // Nothing is left to be done about an error.
@@ -247,6 +265,8 @@
 func (w *work) run() {
 	defer w.finish()
 	w.c.s.Batches.Add(1)
+	w.c.s.active.Add(1)
+	defer w.c.s.active.Add(-1)
 	for i := range w.leafs {
 		w.start(i)
 	}
