Read once more: one check of when something is due again, no sort of all members on each batch

No decision changes. AdmitProbe and AdmitLook share once(); a batch's texts are read in one pass; peers of a zone are filtered in place of sorting every member for each batch that is sent (membership.UsableIn); one way to release a leaf that is out of use; the seeds' own port was never used.

--- a/pkg/fanout/progress.go
+++ b/pkg/fanout/progress.go
@@ -124,8 +124,8 @@
 }
 
 // overBudget reports whether a shard with nothing open is left out for good
-// because its second request found no budget or no room. Before the target they may
-// come in time, and the other shards are waited for anyway; a late query waits for a
+// because its second request found no budget. Before the target it may come in time,
+// and the other shards are waited for anyway; a late query waits for a
 // part of the time that is left, so that its caller still has time to come again.
 func (q *Query) overBudget(now time.Time) bool {
 	return !q.aimed() || !now.Before(q.lateEnd())
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -157,6 +157,17 @@
 	return out
 }
 
+// UsableIn lists the members of a zone that work may be given to, in no order.
+func (s *State) UsableIn(zone string) []Member {
+	var out []Member
+	for _, m := range s.members {
+		if m.Zone == zone && m.Usable() {
+			out = append(out, m.Member)
+		}
+	}
+	return out
+}
+
 // Self is this instance as it describes itself.
 func (s *State) Self() Member { return s.self }
 
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -46,18 +46,16 @@
 	return &peering{agent: agent, server: server}, nil
 }
 
-// seedAddrs are the peers' addresses of the instances that the seeds name.
+// seedAddrs are the peers' addresses of the instances that the seeds name: the port is
+// the same on all instances.
 func seedAddrs(seeds []string, port int) []string {
 	var out []string
 	for _, seed := range seeds {
-		host, own, err := net.SplitHostPort(seed)
+		host, _, err := net.SplitHostPort(seed)
 		if err != nil {
 			continue // Checked at load.
 		}
-		if port != 0 {
-			own = strconv.Itoa(port)
-		}
-		out = append(out, net.JoinHostPort(host, own))
+		out = append(out, net.JoinHostPort(host, strconv.Itoa(port)))
 	}
 	return out
 }
--- a/pkg/node/sink.go
+++ b/pkg/node/sink.go
@@ -33,16 +33,20 @@
 // LeafGone implements discovery.Sink.
 func (n *Node) LeafGone(id string) {
 	if n.table.Remove(id, time.Now()) {
-		n.leafs.Forget(id)
-		n.log.Decision("leaf_gone", oplog.Fields{"leaf": id, "reason": "no longer listed"})
+		n.forget(id, "no longer listed")
 	}
 }
 
+// forget releases what is held for a leaf that is out of use.
+func (n *Node) forget(id, reason string) {
+	n.leafs.Forget(id)
+	n.log.Decision("leaf_gone", oplog.Fields{"leaf": id, "reason": reason})
+}
+
 // LeafUnreadable implements discovery.Sink.
 func (n *Node) LeafUnreadable(id string) {
 	if n.table.Withdraw(id, time.Now()) {
-		n.leafs.Forget(id)
-		n.log.Decision("leaf_gone", oplog.Fields{"leaf": id, "reason": "its entry cannot be decoded"})
+		n.forget(id, "its entry cannot be decoded")
 	}
 }
 
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -239,12 +239,7 @@
 // drawn by rendezvous hashing, so that each instance keeps to a few, all are spread
 // alike, and a peer that goes moves only those that used it. mu is held.
 func (p *Peers) chosen(zone string, now time.Time) []membership.Member {
-	var fit []membership.Member
-	for _, m := range p.members.Members() {
-		if m.Zone == zone && m.Usable() && !now.Before(p.avoid[m.Name]) {
-			fit = append(fit, m)
-		}
-	}
+	fit := slices.DeleteFunc(p.members.UsableIn(zone), func(m membership.Member) bool { return now.Before(p.avoid[m.Name]) })
 	slices.SortFunc(fit, func(a, b membership.Member) int { return cmp.Compare(p.weight(b), p.weight(a)) })
 	return fit[:min(len(fit), spare)]
 }
--- a/pkg/peers/server.go
+++ b/pkg/peers/server.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -206,29 +207,17 @@
 	took  time.Duration
 }
 
-// work decodes a batch. All texts of a frame are read, so that both ends number alike.
+// work decodes a batch. All texts of a frame are read, in the order in which they were
+// written, so that both ends number alike.
 func (c *serverConn) work(b batch) (*work, error) {
 	now := time.Now()
-	method, err := c.texts.text(b.Method)
-	if err != nil {
-		return nil, err
-	}
-	host, err := c.texts.text(b.Host)
-	if err != nil {
-		return nil, err
-	}
-	header, err := c.texts.all(b.Header)
-	if err != nil {
-		return nil, err
-	}
-	idName, err := c.texts.text(b.IDHeader)
-	if err != nil {
-		return nil, err
-	}
-	leafs, err := c.texts.all(b.Leafs)
+	texts, err := c.texts.all(slices.Concat([]ref{b.Method, b.Host}, b.Header, []ref{b.IDHeader}, b.Leafs))
 	if err != nil {
 		return nil, err
 	}
+	method, host := texts[0], texts[1]
+	header, rest := texts[2:2+len(b.Header)], texts[2+len(b.Header):]
+	idName, leafs := rest[0], rest[1:]
 	fields := fromPairs(header)
 	if idName != "" {
 		fields[idName] = []string{b.RequestID}
--- a/pkg/replica/class.go
+++ b/pkg/replica/class.go
@@ -90,11 +90,15 @@
 func (t *Table) AdmitProbe(className string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := t.class(className)
-	if now.Sub(c.probedAt) < probeEvery {
+	return once(&t.class(className).probedAt, probeEvery, now)
+}
+
+// once reports whether the last time is long enough ago, and takes now for it if so.
+func once(last *time.Time, every time.Duration, now time.Time) bool {
+	if now.Sub(*last) < every {
 		return false
 	}
-	c.probedAt = now
+	*last = now
 	return true
 }
 
@@ -107,12 +111,7 @@
 func (t *Table) AdmitLook(className string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := t.class(className)
-	if now.Sub(c.lookedAt) < lookEvery {
-		return false
-	}
-	c.lookedAt = now
-	return true
+	return once(&t.class(className).lookedAt, lookEvery, now)
 }
 
 // class returns the row of a class, made on first use.
