The store is read by a few instances of each zone for all

Change: the first two of a zone's order (most room first) read the store; the others listen to both and take over entries with the store's revisions, so that a page that is behind takes nothing back. Three times a second each says how old the store's last answer to it is. When that is older than 0.4 of the time in which a change must be in force, the next two in the order read, and so on: an outage brings a few to the store, not all. Who takes over watches on from the revision that it was fed; one that is turned away listens to those behind it. A revision that the store never had is found out by the store's own answer, or by another instance's, and forgotten. An instance that starts while the store is away is fed and ready. Zones of fewer than five read for themselves: feeding would save nothing. Weighed: pushed streams (this) against asking (a round trip of delay, and calls in proportion to the instances again); entries against the store's pages (an instance may be ahead of one of its two sources); SWIM's verdict on a reader (4 s) against words of it (1 s). Ruled out while testing: counting as a source whoever has news of others (a reader that is turned away seems well to the next one in line, which stops); listening forward only (the first two, turned away, had nobody to listen to).

--- a/pkg/cli/node_test.go
+++ b/pkg/cli/node_test.go
@@ -54,6 +54,7 @@
 		"{{listenAddrs.readiness|json}}", `"127.0.0.1:2"`, "{{listenAddrs.control|json}}", `"127.0.0.1:3"`,
 		"{{platform.address|json}}", `"127.0.0.1:4"`, "{{ip}}", "127.0.0.1", "{{internalPorts.0}}", "7380", "{{seeds|json}}", `["10.1.0.9:8106","10.2.0.21:8106"]`, "{{bounds.graceS}}", "6",
 		"{{bounds.contactMs}}", "4000", "{{bounds.configApplyMs}}", "3000", "{{bounds.drainMs}}", "3000", "{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.budgetWindowS}}", "10",
+		"{{limits.cpuShare}}", "0.4", "{{bounds.budgetSlack}}", "56", `{{#zones}}"{{@}}"{{,}}{{/zones}}`, `"a","b"`, "{{bootstrap}}", "true",
 	).Replace(string(raw))
 	require.NotContains(t, filled, "{{")
 	path := filepath.Join(t.TempDir(), "node.yaml")
--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -7,9 +7,11 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/indigoyoke/indigoyoke/pkg/feed"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
@@ -18,9 +20,12 @@
 // ErrCompacted says that the store no longer has the history asked for.
 var ErrCompacted = errors.New("store history is no longer available")
 
-// Event is one published change. Exactly one of its fields is set; an event about
-// anything else, or one that cannot be decoded, has none.
+// Event is one published change. Exactly one of its fields besides Item is set; an event
+// about anything else, or one that cannot be decoded, has none.
 type Event struct {
+	// Item is the entry as it was published, for other instances; without a key for one
+	// that has none that can be read.
+	Item     feed.Item
 	Leaf     *replica.Leaf
 	Config   *routing.Config
 	GoneLeaf string
@@ -51,6 +56,8 @@
 	// Watch returns what changed after revision, as soon as there is
 	// something, or an empty page after wait.
 	Watch(ctx context.Context, revision int64, wait time.Duration) (Page, error)
+	// Decode decodes an entry that another instance has read.
+	Decode(item feed.Item) Event
 }
 
 // Sink takes over what is published.
@@ -73,6 +80,9 @@
 	// Coalesce is the pause after a watch that brought changes, so that
 	// changes in quick succession are fetched together.
 	Coalesce time.Duration
+	// AfterPause is how long the watch after such a pause waits, where others are fed by
+	// this instance and must know that its news are not old; zero: as any other.
+	AfterPause time.Duration
 	// CallTimeout bounds a call beyond its wait.
 	CallTimeout time.Duration
 	// RetryFirst and RetryMost bound the growing pause after failures.
@@ -90,8 +100,21 @@
 	opts   Options
 	log    *oplog.Log
 
-	revision int64
-	listed   bool
+	// reading: the store is read by this instance; woken is sent to when that changes.
+	reading atomic.Bool
+	woken   chan struct{}
+	// changed is called when there is something new for those that are fed.
+	changed func()
+
+	// mu guards the book, and the order of what the sink is told.
+	mu   sync.Mutex
+	book *feed.Book
+	// revision is that of the book; risenAt is when it last rose.
+	revision atomic.Int64
+	risenAt  time.Time
+
+	// paused: the last watch was followed by a pause.
+	paused bool
 	// lastGood is the last successful call, failingSince the first failed
 	// one after it.
 	lastGood     time.Time
@@ -101,7 +124,10 @@
 	calls      atomic.Int64
 	failures   atomic.Int64
 	unreadable atomic.Int64
-	goodAt     atomic.Pointer[time.Time]
+	// goodAt is when the store last answered, this instance or one that feeds it.
+	goodAt atomic.Pointer[time.Time]
+	// answeredAt is when it last answered this instance itself.
+	answeredAt atomic.Pointer[time.Time]
 }
 
 // Calls is how many calls were made, Failures how many of them failed.
@@ -124,12 +150,21 @@
 
 // NewFollower returns a follower that has read nothing yet.
 func NewFollower(source Source, sink Sink, opts Options, log *oplog.Log) *Follower {
-	return &Follower{source: source, sink: sink, opts: opts, log: log}
+	f := &Follower{
+		source: source, sink: sink, opts: opts, log: log,
+		book: feed.NewBook(), woken: make(chan struct{}, 1), changed: func() {},
+	}
+	f.reading.Store(true)
+	return f
 }
 
 // Run follows the store until ctx ends.
 func (f *Follower) Run(ctx context.Context) {
 	for ctx.Err() == nil {
+		if !f.reading.Load() {
+			f.idle(ctx)
+			continue
+		}
 		pause := f.step(ctx)
 		if pause <= 0 {
 			continue
@@ -145,19 +180,23 @@
 
 // step makes the next call or listing and returns how long to pause.
 func (f *Follower) step(ctx context.Context) time.Duration {
-	if !f.listed {
+	if !f.known() {
 		if err := f.list(ctx); err != nil {
 			return f.failed(ctx, "list", err)
 		}
-		f.listed = true
+		f.paused = true
 		return f.opts.Coalesce
 	}
-	callCtx, cancel := context.WithTimeout(ctx, f.opts.WatchWait+f.opts.CallTimeout)
+	wait := f.opts.WatchWait
+	if f.paused && f.opts.AfterPause > 0 {
+		wait = min(wait, f.opts.AfterPause)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, wait+f.opts.CallTimeout)
 	defer cancel()
-	page, err := f.source.Watch(callCtx, f.revision, f.opts.WatchWait)
-	if errors.Is(err, ErrCompacted) {
-		f.log.State("store_history_gone", oplog.Fields{"revision": f.revision})
-		f.listed = false
+	revision := f.revision.Load()
+	page, err := f.source.Watch(callCtx, revision, wait)
+	if errors.Is(err, ErrCompacted) || (err == nil && page.Revision < revision) {
+		f.startAnew(page.Revision, err)
 		return 0
 	}
 	if err != nil {
@@ -165,9 +204,24 @@
 	}
 	f.succeeded()
 	f.unreadable.Add(int64(page.Unreadable))
-	f.apply(page.Events)
-	f.revision = max(f.revision, page.Revision)
-	return f.pause(page)
+	f.take(feed.Page{From: revision, To: page.Revision}, page.Events)
+	f.answered()
+	pause := f.pause(page)
+	f.paused = pause > 0
+	return pause
+}
+
+// startAnew forgets what is known of the store, so that all is listed.
+//
+// The store drops its history at times. And a revision that another instance told may be
+// one that the store has not reached: watching on from it would hear nothing for good.
+func (f *Follower) startAnew(store int64, err error) {
+	event := "store_history_gone"
+	if err == nil {
+		event = "store_behind_feed"
+	}
+	f.log.State(event, oplog.Fields{"revision": f.revision.Load(), "store_revision": store})
+	f.forget()
 }
 
 // pause is how long to wait after a watch.
@@ -215,9 +269,10 @@
 		}
 		next = page.Next
 	}
-	f.revision = revision
-	f.apply(events)
+	f.take(feed.Page{Full: true, To: revision}, events)
+	f.addLater(ids, revision)
 	f.sink.Listed(ids)
+	f.answered()
 	f.log.State("store_listed", oplog.Fields{"revision": revision, "leafs": len(ids)})
 	return nil
 }
@@ -247,13 +302,12 @@
 func (f *Follower) succeeded() {
 	now := time.Now()
 	f.calls.Add(1)
-	f.goodAt.Store(&now)
 	if !f.failingSince.IsZero() {
 		away := now.Sub(f.failingSince)
 		f.failingSince = time.Time{}
-		f.log.State("store_regained", oplog.Fields{"away_ms": away.Milliseconds(), "revision": f.revision})
+		f.log.State("store_regained", oplog.Fields{"away_ms": away.Milliseconds(), "revision": f.revision.Load()})
 		if now.Sub(f.lastGood) >= f.opts.AwayAfter {
-			f.sink.StoreReturned()
+			f.returned(now)
 		}
 	}
 	f.lastGood = now
@@ -269,7 +323,7 @@
 	f.failures.Add(1)
 	if f.failingSince.IsZero() {
 		f.failingSince = time.Now()
-		f.log.State("store_lost", oplog.Fields{"call": call, "error": err.Error(), "revision": f.revision})
+		f.log.State("store_lost", oplog.Fields{"call": call, "error": err.Error(), "revision": f.revision.Load()})
 	}
 	f.retry = min(max(2*f.retry, f.opts.RetryFirst), f.opts.RetryMost)
 	return f.retry
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/indigoyoke/indigoyoke/pkg/feed"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
@@ -20,6 +21,8 @@
 	watches []func() (Page, error)
 	listed  int
 	watched []int64
+	// onList is called during a listing.
+	onList func()
 }
 
 func (s *script) List(context.Context, string) (Page, error) {
@@ -27,6 +30,9 @@
 		return Page{}, errors.New("store away")
 	}
 	s.listed++
+	if s.onList != nil {
+		s.onList()
+	}
 	return s.lists[s.listed-1], nil
 }
 
@@ -37,15 +43,23 @@
 }
 
 // record is a sink that notes what it is told.
-type record struct{ told []string }
+type record struct {
+	told []string
+	// ids are those of the last listing.
+	ids map[string]bool
+}
 
 func (r *record) LeafSeen(l replica.Leaf)      { r.told = append(r.told, "leaf "+l.ID) }
 func (r *record) LeafGone(id string)           { r.told = append(r.told, "gone "+id) }
 func (r *record) LeafUnreadable(id string)     { r.told = append(r.told, "unreadable "+id) }
-func (r *record) Listed(map[string]bool)       { r.told = append(r.told, "listed") }
 func (r *record) ConfigSeen(c *routing.Config) { r.told = append(r.told, "config") }
 func (r *record) StoreReturned()               { r.told = append(r.told, "returned") }
 
+func (r *record) Listed(ids map[string]bool) {
+	r.told = append(r.told, "listed")
+	r.ids = ids
+}
+
 func follower(s *script) (*Follower, *record) {
 	r := &record{}
 	log := oplog.New(io.Discard, nil, oplog.Options{LinesPerSecond: 1, Burst: 1, Buffer: 16})
@@ -58,6 +72,20 @@
 func leafEvent(id string) Event { return Event{Leaf: &replica.Leaf{ID: id}} }
 func configEvent() Event        { return Event{Config: routing.NewConfig(1, nil, nil, routing.Limits{})} }
 
+// Decode reads a leaf's ID, or a deletion, from an entry.
+func (s *script) Decode(it feed.Item) Event {
+	e := Event{Item: it}
+	switch {
+	case it.Key == "config":
+		e.Config = configEvent().Config
+	case it.Deleted:
+		e.GoneLeaf = it.Key
+	default:
+		e.Leaf = &replica.Leaf{ID: it.Key}
+	}
+	return e
+}
+
 func failing() (Page, error)   { return Page{}, errors.New("cut") }
 func compacted() (Page, error) { return Page{}, ErrCompacted }
 func empty() (Page, error)     { return Page{Revision: 12}, nil }
@@ -74,7 +102,7 @@
 	require.Equal(t, []string{"leaf a", "leaf b", "config", "listed"}, r.told)
 	require.Zero(t, f.step(context.Background()), "an empty watch is followed by the next at once")
 	require.Equal(t, []int64{10}, s.watched)
-	require.EqualValues(t, 12, f.revision)
+	require.EqualValues(t, 12, f.Revision())
 }
 
 // Calls to a store that is away are billed too: the pause between them grows.
@@ -95,7 +123,7 @@
 	require.Zero(t, f.step(context.Background()), "lost history is listed anew at once")
 	f.step(context.Background())
 	require.Equal(t, []string{"listed", "returned", "listed"}, r.told)
-	require.EqualValues(t, 20, f.revision)
+	require.EqualValues(t, 20, f.Revision())
 	require.EqualValues(t, 4, f.Failures())
 }
 
@@ -139,6 +167,6 @@
 	f.step(context.Background())
 	require.Equal(t, f.opts.Coalesce, f.step(context.Background()))
 	require.Equal(t, []string{"leaf a", "unreadable b", "listed", "unreadable a"}, r.told)
-	require.EqualValues(t, 15, f.revision, "goes on behind what cannot be decoded")
+	require.EqualValues(t, 15, f.Revision(), "goes on behind what cannot be decoded")
 	require.EqualValues(t, 3, f.Unreadable())
 }
--- /dev/null
+++ b/pkg/discovery/fed.go
@@ -0,0 +1,219 @@
+package discovery
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/indigoyoke/indigoyoke/pkg/feed"
+	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+)
+
+// This file is the follower's part that has to do with other instances: it takes over what
+// they have read, hands on what it knows, and stops reading where others do.
+
+// OnChange lets changed be called when there is something new for others. It is called
+// before Run.
+func (f *Follower) OnChange(changed func()) { f.changed = changed }
+
+// Since is what has changed after a revision.
+func (f *Follower) Since(revision int64) feed.Page {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.book.Since(revision, time.Now())
+}
+
+// Known reports whether this instance has all that is published, from any source.
+func (f *Follower) Known() bool { return f.known() }
+
+func (f *Follower) known() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.book.Known()
+}
+
+// Revision is the store's as of the latest change that is known.
+func (f *Follower) Revision() int64 { return f.revision.Load() }
+
+// Proven notes that the store has answered at a time, this instance or one that feeds it.
+func (f *Follower) Proven(at time.Time) {
+	for {
+		was := f.goodAt.Load()
+		if was != nil && !at.After(*was) {
+			return
+		}
+		if f.goodAt.CompareAndSwap(was, &at) {
+			return
+		}
+	}
+}
+
+// ProvenAt is when the store last answered, this instance or one that feeds it; zero before
+// the first time.
+func (f *Follower) ProvenAt() time.Time { return loaded(&f.goodAt) }
+
+// answered notes an answer of the store when what it says has been taken over: what is known
+// is at no time older than an answer that others are told of.
+func (f *Follower) answered() {
+	at := f.lastGood
+	f.answeredAt.Store(&at)
+	f.Proven(at)
+}
+
+// AnsweredAt is when the store last answered this instance; zero before the first time.
+func (f *Follower) AnsweredAt() time.Time { return loaded(&f.answeredAt) }
+
+// loaded is the time that p points to, zero for none.
+func loaded(p *atomic.Pointer[time.Time]) time.Time {
+	if at := p.Load(); at != nil {
+		return *at
+	}
+	return time.Time{}
+}
+
+// SetReading says whether this instance reads the store.
+func (f *Follower) SetReading(reading bool) {
+	if f.reading.Swap(reading) == reading {
+		return
+	}
+	f.log.State("store_reading", oplog.Fields{"reading": reading, "revision": f.revision.Load(), "age_ms": f.Age(time.Now()).Milliseconds()})
+	select {
+	case f.woken <- struct{}{}:
+	default:
+	}
+}
+
+// Reading reports whether this instance reads the store.
+func (f *Follower) Reading() bool { return f.reading.Load() }
+
+// idle waits until this instance is to read the store.
+func (f *Follower) idle(ctx context.Context) {
+	f.failingSince, f.retry = time.Time{}, 0
+	select {
+	case <-f.woken:
+	case <-ctx.Done():
+		return
+	}
+	// Others could not read the store, or are gone, and this instance takes over. If that
+	// was an outage, leafs that vanished meanwhile may only have lapsed.
+	f.lastGood = f.ProvenAt()
+	if !f.lastGood.IsZero() && time.Since(f.lastGood) >= f.opts.AwayAfter {
+		f.failingSince = f.lastGood
+	}
+}
+
+// TakeFed takes over a page that another instance has sent.
+func (f *Follower) TakeFed(p feed.Page) error {
+	if err := p.Check(); err != nil {
+		return err
+	}
+	if p.ReturnedMs > 0 {
+		f.returned(time.Now().Add(-time.Duration(p.ReturnedMs) * time.Millisecond))
+	}
+	f.mu.Lock()
+	fresh := f.book.Take(p)
+	f.rise()
+	events := make([]Event, 0, len(fresh))
+	for _, it := range fresh {
+		events = append(events, f.source.Decode(it))
+	}
+	f.apply(events)
+	f.mu.Unlock()
+	if p.Full {
+		f.log.State("store_fed", oplog.Fields{"revision": p.To, "entries": len(p.Items), "new": len(fresh)})
+	}
+	if len(fresh) > 0 {
+		f.changed()
+	}
+	return nil
+}
+
+// contradictedAfter is how much later than a revision was heard of the store must have
+// answered with a lower one to contradict it: clocks of two instances' messages differ by
+// the way between them.
+const contradictedAfter = time.Second
+
+// Contradicted takes over that the store, when it answered another instance at a time, had
+// a revision. It forgets what is known if that cannot be: one instance that claimed a
+// revision which the store never had would keep this one from all later changes.
+func (f *Follower) Contradicted(revision int64, at time.Time) bool {
+	f.mu.Lock()
+	known, risenAt := f.book.Revision(), f.risenAt
+	f.mu.Unlock()
+	if revision >= known || at.Sub(risenAt) < contradictedAfter {
+		return false
+	}
+	f.log.State("store_feed_contradicted", oplog.Fields{"revision": known, "store_revision": revision})
+	f.forget()
+	return true
+}
+
+// forget drops what is known of the store; what the sink was told holds.
+func (f *Follower) forget() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.book = feed.NewBook()
+	f.revision.Store(0)
+}
+
+// take takes over what the store has answered.
+func (f *Follower) take(p feed.Page, events []Event) {
+	f.mu.Lock()
+	for _, e := range events {
+		if e.Item.Key != "" {
+			p.Items = append(p.Items, e.Item)
+		}
+	}
+	fresh := make(map[string]bool)
+	for _, it := range f.book.Take(p) {
+		fresh[it.Key] = true
+	}
+	f.rise()
+	f.apply(onlyFresh(events, fresh))
+	f.mu.Unlock()
+	if len(fresh) > 0 {
+		f.changed()
+	}
+}
+
+// onlyFresh are the events that are news: another instance may have told of the others.
+func onlyFresh(events []Event, fresh map[string]bool) []Event {
+	out := make([]Event, 0, len(events))
+	for _, e := range events {
+		if e.Item.Key == "" || fresh[e.Item.Key] {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// rise notes the book's revision; mu is held.
+func (f *Follower) rise() {
+	if revision := f.book.Revision(); revision > f.revision.Load() {
+		f.revision.Store(revision)
+		f.risenAt = time.Now()
+	}
+}
+
+// returned notes that the store has come back after an outage.
+func (f *Follower) returned(at time.Time) {
+	f.mu.Lock()
+	news := f.book.Returned(at)
+	f.mu.Unlock()
+	if news {
+		f.sink.StoreReturned()
+	}
+}
+
+// addLater adds the leafs that another instance has told of since a listing began: the
+// listing may lack them.
+func (f *Follower) addLater(ids map[string]bool, revision int64) {
+	f.mu.Lock()
+	later := f.book.Since(max(revision, 1), time.Now())
+	f.mu.Unlock()
+	for _, it := range later.Items {
+		if leaf := f.source.Decode(it).Leaf; leaf != nil {
+			ids[leaf.ID] = true
+		}
+	}
+}
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -4,7 +4,9 @@
 	"context"
 	"net"
 	"strconv"
+	"time"
 
+	"github.com/indigoyoke/indigoyoke/pkg/feed"
 	"github.com/indigoyoke/indigoyoke/pkg/front"
 	"github.com/indigoyoke/indigoyoke/pkg/membership"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
@@ -48,9 +50,19 @@
 		slack := peers.Slack{Total: set.Bounds.SecondSlack, Zones: set.Bounds.Zones, Window: settings.Duration(set.Bounds.SecondWindowMs)}
 		agent.ShareSlack(slack, n.table.SetBursts)
 	}
+	if set.Peers.Feed {
+		n.follower.OnChange(server.Changed)
+		server.Feed(n.follower)
+		agent.Listen(n.follower, feed.Options{Fresh: set.FeedCycle() + newsLate, StartWait: set.StartWait()}, set.Peers.FirstStart)
+		n.follower.SetReading(false) // Until the agent has decided.
+	}
 	return &peering{agent: agent, server: server}, nil
 }
 
+// newsLate is how much older than the cycle of a reader's calls its news may seem: a slow
+// call to the store, and the time between two words of it.
+const newsLate = 500 * time.Millisecond
+
 // room is how much work this instance can take, in hundredths of a processor.
 func room(set *settings.Node) uint32 { return uint32(max(100*set.Machine.Processor, 1)) }
 
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -69,7 +69,17 @@
 	Leafs         []replica.LeafState `json:"leafs"`
 	Members       []MemberState       `json:"members"`
 	// Peers are the names of the peers that are connected.
-	Peers []string `json:"peers"`
+	Peers []string   `json:"peers"`
+	Store StoreState `json:"store"`
+}
+
+// StoreState is how this instance knows what the platform's store publishes.
+type StoreState struct {
+	// Reading: it reads the store itself; otherwise its peers feed it.
+	Reading  bool  `json:"reading"`
+	Revision int64 `json:"revision"`
+	// AgeMs is how long ago the store last answered it, or one that feeds it.
+	AgeMs int64 `json:"age_ms"`
 }
 
 // State returns the dump served on the control address.
@@ -79,6 +89,7 @@
 		Name: set.Name, Zone: set.Zone, Ready: n.ready(), Draining: n.draining.Load(),
 		UptimeMs: time.Since(n.started).Milliseconds(), InFlight: n.gateway.InFlight(),
 		OpenConns: n.pool.Stats.OpenConns.Load(), Leafs: n.table.Dump(time.Now()), Members: n.peering.state(), Peers: n.peering.connected(),
+		Store: StoreState{Reading: n.follower.Reading(), Revision: n.follower.Revision(), AgeMs: n.follower.Age(time.Now()).Milliseconds()},
 	}
 	if c := n.gateway.Config(); c != nil {
 		s.ConfigVersion, s.Routes = c.Version, c.RouteCount()
@@ -112,6 +123,12 @@
 	gauge("node_store_calls", func() float64 { return float64(n.follower.Calls()) })
 	gauge("node_store_failures", func() float64 { return float64(n.follower.Failures()) })
 	gauge("node_store_entries_unreadable", func() float64 { return float64(n.follower.Unreadable()) })
+	gauge("node_store_reading", func() float64 {
+		if n.follower.Reading() {
+			return 1
+		}
+		return 0
+	})
 	gauge("node_store_age_seconds", func() float64 { return n.follower.Age(time.Now()).Seconds() })
 	gauge("node_log_lines_dropped", func() float64 { return float64(n.log.Dropped()) })
 	gauge("node_log_lines_summed", func() float64 { return float64(n.log.Summed()) })
--- a/pkg/peers/conn.go
+++ b/pkg/peers/conn.go
@@ -21,6 +21,11 @@
 	// connection has ended.
 	silent func(*clientConn)
 	ended  func(*clientConn, error)
+	// news and page are told what the peer knows of the store; nil: nobody listens.
+	news func(*clientConn, news)
+	page func(*clientConn, []byte) error
+	// listening: the peer was asked for that. The agent's lock guards it.
+	listening bool
 
 	mu      sync.Mutex
 	w       *bufio.Writer
@@ -205,6 +210,17 @@
 		return nil
 	case kindBeat:
 		return nil
+	case kindNews:
+		n, err := decode[news](raw)
+		if err == nil && c.news != nil {
+			c.news(c, n)
+		}
+		return err
+	case kindPage:
+		if c.page == nil {
+			return nil
+		}
+		return c.page(c, raw)
 	}
 	return c.queryFrame(k, raw)
 }
--- /dev/null
+++ b/pkg/peers/feeds_test.go
@@ -0,0 +1,235 @@
+package peers
+
+import (
+	"bufio"
+	"bytes"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/indigoyoke/indigoyoke/pkg/feed"
+	"github.com/indigoyoke/indigoyoke/pkg/membership"
+)
+
+// memory is a Store that is a book and no more.
+type memory struct {
+	mu       sync.Mutex
+	book     *feed.Book
+	proven   time.Time
+	answered time.Time
+	reading  bool
+	refused  int
+}
+
+func newMemory() *memory { return &memory{book: feed.NewBook()} }
+
+// locked runs f under the lock and returns what it does.
+func locked[T any](m *memory, f func() T) T {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return f()
+}
+
+func (m *memory) Since(r int64) feed.Page {
+	return locked(m, func() feed.Page { return m.book.Since(r, time.Now()) })
+}
+func (m *memory) Known() bool           { return locked(m, m.book.Known) }
+func (m *memory) Revision() int64       { return locked(m, m.book.Revision) }
+func (m *memory) ProvenAt() time.Time   { return locked(m, func() time.Time { return m.proven }) }
+func (m *memory) AnsweredAt() time.Time { return locked(m, func() time.Time { return m.answered }) }
+func (m *memory) Proven(at time.Time)   { locked(m, func() bool { m.proven = at; return true }) }
+func (m *memory) SetReading(r bool)     { locked(m, func() bool { m.reading = r; return true }) }
+func (m *memory) Contradicted(int64, time.Time) bool {
+	return false
+}
+
+func (m *memory) TakeFed(p feed.Page) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := p.Check(); err != nil {
+		m.refused++
+		return err
+	}
+	m.book.Take(p)
+	return nil
+}
+
+// isReading reports whether it was told to read.
+func (m *memory) isReading() bool { return locked(m, func() bool { return m.reading }) }
+
+// feedBench is an instance that a peer can feed.
+type feedBench struct {
+	*bench
+	agent      *Peers
+	here, peer *memory
+}
+
+func newFeedBench(t *testing.T) *feedBench {
+	b := &feedBench{bench: newBench(t, nil), here: newMemory(), peer: newMemory()}
+	b.server.Feed(b.peer)
+	b.agent = &Peers{log: quietLog(), conns: map[string]*clientConn{}, avoid: map[string]time.Time{}}
+	b.agent.Listen(b.here, feed.Options{Fresh: 2 * time.Second}, false)
+	b.attach(b.conn)
+	return b
+}
+
+// attach lets the agent use a connection to the peer.
+func (b *feedBench) attach(c *clientConn) {
+	b.agent.mu.Lock()
+	defer b.agent.mu.Unlock()
+	c.news, c.page = b.agent.heardNews, b.agent.heardPage
+	b.agent.conns["peer"] = c
+}
+
+// listenTo asks the peer for what it knows.
+func (b *feedBench) listenTo() {
+	b.agent.mu.Lock()
+	defer b.agent.mu.Unlock()
+	b.agent.subscribe(map[string]bool{"peer": true})
+}
+
+// tell lets the peer know an entry.
+func (b *feedBench) tell(key string, revision int64) {
+	locked(b.peer, func() bool {
+		b.peer.book.Take(feed.Page{Full: !b.peer.book.Known(), To: revision, Items: []feed.Item{{Key: key, Revision: revision, Raw: []byte(key)}}})
+		b.peer.proven, b.peer.answered = time.Now(), time.Now()
+		return true
+	})
+	b.server.Changed()
+}
+
+func (b *feedBench) eventually(cond func() bool) {
+	b.t.Helper()
+	require.Eventually(b.t, cond, 10*time.Second, time.Millisecond)
+}
+
+// What the peer learns is known here at once, and with it how old it is.
+func TestPeerIsFed(t *testing.T) {
+	b := newFeedBench(t)
+	b.tell("a", 4)
+	b.listenTo()
+	b.eventually(func() bool { return b.here.Known() && b.here.Revision() == 4 })
+	for revision := int64(5); revision < 20; revision++ {
+		b.tell("b", revision)
+		b.eventually(func() bool { return b.here.Revision() == revision })
+	}
+	b.eventually(func() bool { return !b.here.ProvenAt().IsZero() })
+	require.WithinDuration(t, time.Now(), b.here.ProvenAt(), 5*time.Second)
+	b.agent.mu.Lock()
+	require.False(t, b.agent.feeds.answered("peer", time.Now()).IsZero())
+	require.True(t, b.agent.feeds.answered("peer", time.Now().Add(2*newsMissed)).IsZero(), "silence is no news")
+	b.agent.subscribe(nil)
+	b.agent.mu.Unlock()
+	b.eventually(func() bool {
+		b.server.feeder.mu.Lock()
+		defer b.server.feeder.mu.Unlock()
+		return len(b.server.feeder.wakes) == 0
+	})
+}
+
+// A peer that knows nothing itself says so, and is no source.
+func TestPeerThatKnowsNothingIsNoSource(t *testing.T) {
+	b := newFeedBench(t)
+	b.listenTo()
+	b.eventually(func() bool {
+		b.agent.mu.Lock()
+		defer b.agent.mu.Unlock()
+		return !b.agent.feeds.heard["peer"].at.IsZero()
+	})
+	require.False(t, b.here.Known())
+	require.Zero(t, b.here.ProvenAt())
+	require.True(t, b.agent.feeds.answered("peer", time.Now()).IsZero())
+}
+
+// Symptom: one instance with a fault takes the others down with it. Sequence: it claims a
+// revision that cannot be, sends what cannot be unpacked or a frame of another kind. Cause
+// it guards against: believing or choking on it. Its good pages still count, and a frame
+// that is too large ends the connection.
+func TestBadPagesAreDropped(t *testing.T) {
+	b := newFeedBench(t)
+	packed := func(p feed.Page) []byte {
+		raw, err := (&feeder{}).pack(p)
+		require.NoError(t, err)
+		return raw
+	}
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = ln.Close() }()
+	frames := make(chan []byte)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		w := bufio.NewWriter(conn)
+		for raw := range frames {
+			_ = writeFrame(w, kindPage, raw)
+		}
+		_, _ = conn.Write(bytes.Repeat([]byte{0xff}, 9)) // The size of a frame beyond the limit.
+		_, _ = conn.Write([]byte{0x01})
+	}()
+	c := b.dial(ln.Addr().String())
+	b.attach(c)
+	frames <- packed(feed.Page{Full: true, To: 1 << 60})
+	frames <- []byte("no such thing")
+	frames <- packed(feed.Page{Full: true, To: 9, Items: []feed.Item{{Key: "x", Revision: 12}}})
+	frames <- packed(feed.Page{Full: true, To: 9, Items: []feed.Item{{Key: "x", Revision: 9}}})
+	b.eventually(func() bool { return b.here.Revision() == 9 })
+	require.Equal(t, 2, b.here.refused)
+	close(frames)
+	require.ErrorIs(t, <-b.ended, errFrameSize)
+}
+
+// In a zone of few each reads the store for itself; in one of many those after the first two
+// are fed.
+func TestWhoReadsTheStore(t *testing.T) {
+	for name, tc := range map[string]struct {
+		near, ahead int
+		read        bool
+	}{
+		"few, last":   {3, 3, true},
+		"many, first": {9, 0, true},
+		"many, next":  {9, 1, true},
+		"many, third": {9, 2, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			b := newFeedBench(t)
+			locked(b.here, func() bool { b.here.book.Take(feed.Page{Full: true, To: 1}); return true })
+			now := time.Now()
+			b.agent.mu.Lock()
+			defer b.agent.mu.Unlock()
+			b.agent.roles = roles{near: tc.near, ahead: members("z", make([]uint32, tc.ahead)...)}
+			for _, m := range b.agent.roles.ahead {
+				b.agent.feeds.heard[m.Name] = heard{answeredAt: now, at: now}
+			}
+			listen := b.agent.follow(now)
+			require.Equal(t, tc.read, b.here.isReading())
+			if tc.near >= feed.LeastMembers {
+				require.Len(t, listen, tc.ahead)
+			}
+			b.agent.avoid["z-a"] = now.Add(time.Minute)
+			b.agent.follow(now)
+			require.True(t, b.here.isReading(), "one of two that it listens to is gone")
+		})
+	}
+}
+
+// The order in which a zone reads the store is the same for all its members.
+func TestOrderOfAZoneIsTheSameForAll(t *testing.T) {
+	all := members("z", 19, 80, 19, 80, 19, 19)
+	var want []string
+	for name, r := range drawAll(all) {
+		var got []string
+		for _, m := range append(append(append([]membership.Member{}, r.ahead...), membership.Member{Name: name}), r.behind...) {
+			got = append(got, m.Name)
+		}
+		if want == nil {
+			want = got
+		}
+		require.Equal(t, want, got)
+	}
+	require.ElementsMatch(t, []string{"z-b", "z-d"}, want[:2])
+}
--- a/pkg/peers/frames.go
+++ b/pkg/peers/frames.go
@@ -50,6 +50,11 @@
 	kindAnswer
 	// kindBeat says that the peer is well while queries are open.
 	kindBeat
+	// kindListen asks for what the store publishes, kindNews says how far the peer's
+	// knowledge of it reaches, and kindPage brings changes.
+	kindListen
+	kindNews
+	kindPage
 )
 
 // numbered is a frame that says no more than which batch or query it is about.
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -62,6 +62,8 @@
 	// roles is who works for whom, drawn anew each tick.
 	roles roles
 	slack slackShare
+	// feeds is nil where this instance reads the store by itself.
+	feeds *feeds
 	// shared is told this instance's part of the slack.
 	shared func(replica.Bursts)
 
@@ -268,14 +270,19 @@
 	if p.shared != nil {
 		p.shared(p.slack.share(p.roles, p.members.Members(), p.self.Zone, now))
 	}
+	listening := make(map[string]bool)
+	for _, name := range p.follow(now) {
+		listening[name] = true
+	}
 	wanted := make(map[string]bool)
-	for _, m := range p.roles.wanted() {
+	for _, m := range p.roles.wanted(listening) {
 		wanted[m.Name] = true
 		if p.conns[m.Name] == nil && !p.dialing[m.Name] {
 			p.dialing[m.Name] = true
 			go p.open(m)
 		}
 	}
+	p.subscribe(listening)
 	for name, c := range p.conns {
 		if _, open, _ := c.state(); !wanted[name] && open == 0 {
 			delete(p.conns, name)
@@ -296,6 +303,9 @@
 		return
 	}
 	c.silent, c.ended = p.silent, p.ended
+	if p.feeds != nil {
+		c.news, c.page = p.heardNews, p.heardPage
+	}
 	p.conns[m.Name] = c
 	go c.read()
 	p.log.Decision("peer_connected", oplog.Fields{"peer": m.Name, "peer_zone": m.Zone})
@@ -317,6 +327,9 @@
 		delete(p.conns, c.peer.Name)
 		p.avoid[c.peer.Name] = time.Now().Add(avoidFor)
 	}
+	if p.feeds != nil {
+		delete(p.feeds.heard, c.peer.Name)
+	}
 	p.mu.Unlock()
 	if !errors.Is(err, net.ErrClosed) {
 		p.log.Decision("peer_lost", oplog.Fields{"peer": c.peer.Name, "peer_zone": c.peer.Zone, "error": err.Error()})
--- a/pkg/peers/roles.go
+++ b/pkg/peers/roles.go
@@ -18,9 +18,14 @@
 	gatherers []membership.Member
 	// relays are, for each other zone, the peers that send requests to leafs there.
 	relays map[string][]membership.Member
+	// ahead and behind are the members of the zone that come before and after this instance
+	// in the order in which they read the store.
+	ahead, behind []membership.Member
 	// drawn is how many gatherers the zone has, and near how many other members of it are
 	// in use.
 	drawn, near int
+	// others is how many other members are in use, of all zones.
+	others int
 }
 
 const (
@@ -45,6 +50,7 @@
 	}
 	r := roles{relays: make(map[string][]membership.Member)}
 	for zone, in := range zones {
+		r.others += len(in)
 		if zone == self.Zone {
 			continue
 		}
@@ -52,7 +58,10 @@
 		preferred(fit, self.Name)
 		r.relays[zone] = fit[:min(len(fit), relaysKept)]
 	}
-	drawn := gatherers(self, zones[self.Zone])
+	order := byRoom(self, zones[self.Zone])
+	at := slices.IndexFunc(order, func(m membership.Member) bool { return m.Name == self.Name })
+	r.ahead, r.behind = order[:at], order[at+1:]
+	drawn := slices.Clone(gatherers(order))
 	r.drawn, r.near = len(drawn), len(zones[self.Zone])
 	if !slices.ContainsFunc(drawn, func(m membership.Member) bool { return m.Name == self.Name }) {
 		preferred(drawn, self.Name)
@@ -61,12 +70,17 @@
 	return r
 }
 
-// gatherers draws the gatherers of this instance's zone: the members with most room, and
-// among equal ones those that the zone prefers.
-func gatherers(self membership.Member, others []membership.Member) []membership.Member {
+// byRoom is the order of a zone's members: those with most room first, and among equal ones
+// those that the zone prefers. All its members have the same.
+func byRoom(self membership.Member, others []membership.Member) []membership.Member {
 	all := append(slices.Clone(others), self)
 	preferred(all, self.Zone)
 	slices.SortStableFunc(all, func(a, b membership.Member) int { return cmp.Compare(b.Room, a.Room) })
+	return all
+}
+
+// gatherers draws the gatherers of a zone from the order of its members.
+func gatherers(all []membership.Member) []membership.Member {
 	total, sum, n := 0.0, 0.0, 0
 	for _, m := range all {
 		total += float64(m.Room)
@@ -91,9 +105,15 @@
 	slices.SortFunc(members, func(a, b membership.Member) int { return cmp.Compare(weights[b.Name], weights[a.Name]) })
 }
 
-// wanted are the members that are kept connected.
-func (r *roles) wanted() []membership.Member {
+// wanted are the members that are kept connected: those that work for this instance, and
+// those that it listens to.
+func (r *roles) wanted(listening map[string]bool) []membership.Member {
 	out := slices.Clone(r.gatherers)
+	for _, m := range slices.Concat(r.ahead, r.behind) {
+		if listening[m.Name] {
+			out = append(out, m)
+		}
+	}
 	for _, members := range r.relays {
 		out = append(out, members...)
 	}
--- a/pkg/peers/server.go
+++ b/pkg/peers/server.go
@@ -34,11 +34,13 @@
 type Server struct {
 	listener net.Listener
 	queries  Queries
-	table    *replica.Table
-	leafs    gateway.Leafs
-	codec    Codec
-	pool     *ants.Pool
-	log      *oplog.Log
+	// feeder is nil where peers are not fed.
+	feeder *feeder
+	table  *replica.Table
+	leafs  gateway.Leafs
+	codec  Codec
+	pool   *ants.Pool
+	log    *oplog.Log
 	// Batches, Calls and Gathered count what was served; active is the work under way.
 	Batches, Calls, Gathered atomic.Int64
 	active                   atomic.Int64
@@ -125,6 +127,8 @@
 	writeMu sync.Mutex
 	w       *bufio.Writer
 
+	// stopFeeding ends feeding the peer; nil while it is not fed. mu guards it.
+	stopFeeding context.CancelFunc
 	// beating: the next word that this instance is well is due.
 	beating atomic.Bool
 
@@ -214,6 +218,12 @@
 			return nil, err
 		}
 		return c.query(q)
+	case kindListen:
+		l, err := decode[listen](raw)
+		if err == nil {
+			c.listen(l)
+		}
+		return nil, err
 	case kindCancel:
 		n, err := decode[numbered](raw)
 		c.cancel(n.Number)
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -102,6 +102,14 @@
 	Relay bool `yaml:"relay"`
 	// Gather lets a few instances of each zone run the queries of all.
 	Gather bool `yaml:"gather"`
+	// Feed lets a few instances of each zone read the store for all.
+	Feed bool `yaml:"feed"`
+	// StartWaitMs is how long an instance that starts waits for peers that feed it before
+	// it reads the store, and FirstStartWaitMs the same where all start for the first
+	// time and no callers come yet, as FirstStart says.
+	StartWaitMs      int  `yaml:"start_wait_ms"`
+	FirstStartWaitMs int  `yaml:"first_start_wait_ms"`
+	FirstStart       bool `yaml:"first_start"`
 }
 
 // NodeMachine says what an instance runs on. Work is placed by it.
@@ -217,7 +225,14 @@
 			LapseGraceMs:  2300,
 			MaxReplyBytes: 4 << 20,
 		},
-		Peers:   NodePeers{Relay: true, Gather: true},
+		Peers: NodePeers{
+			Relay: true, Gather: true, Feed: true,
+			// A round of joins (200 ms) and a connection; longer, and callers of
+			// instances that start together wait too.
+			StartWaitMs: 300,
+			// The members of a zone know each other after 1.5 s.
+			FirstStartWaitMs: 2000,
+		},
 		Machine: NodeMachine{Processor: 1},
 		// An instance may open 4,100 descriptors, 200 of them for files; 900
 		// are left for leafs, the store and operators.
@@ -249,6 +264,8 @@
 		optionalHostPort("listen.metrics", n.Listen.Metrics),
 		optionalHostPort("peers.listen", n.Peers.Listen),
 		hostPorts("peers.seeds", n.Peers.Seeds),
+		nonNegative("peers.start_wait_ms", n.Peers.StartWaitMs),
+		nonNegative("peers.first_start_wait_ms", n.Peers.FirstStartWaitMs),
 		positive("machine.processor", n.Machine.Processor),
 		hostPort("store.address", n.Store.Address),
 		between("store.watch_wait_ms", n.Store.WatchWaitMs, 100, 30000),
@@ -329,6 +346,24 @@
 	return Duration(min(n.Store.CoalesceMs, int(within)))
 }
 
+// freshPart is the part of the time in which a change must be in force that news of the
+// store may be old at those that feed others. The rest covers the next ones in line, if the
+// store turns those away.
+const freshPart = 0.4
+
+// FeedCycle is how often the store answers one that feeds others, at least.
+func (n *Node) FeedCycle() time.Duration {
+	return min(n.WatchWait(), Duration(int(freshPart*float64(min(n.Bounds.ApplyMs, n.Bounds.DrainMs)))))
+}
+
+// StartWait is how long an instance that starts waits for peers that feed it.
+func (n *Node) StartWait() time.Duration {
+	if n.Peers.FirstStart {
+		return Duration(n.Peers.FirstStartWaitMs)
+	}
+	return Duration(n.Peers.StartWaitMs)
+}
+
 // StopBudget is how long requests in flight may take after the leave time.
 func (n *Node) StopBudget() time.Duration {
 	return Duration(max(n.Bounds.GraceMs-n.Stop.LeaveMs-n.Stop.MarginMs, 0))
