Log lines have levels, and log.level bounds them

Cause: every line was info, a lost store and a malformed message too. Change: a table of the events that are not information; log.level is checked at load.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -68,10 +68,14 @@
 	if err != nil {
 		return nil, err
 	}
+	level, err := oplog.ParseLevel(set.Log.Level)
+	if err != nil {
+		return nil, err
+	}
 	n := &Node{path: path, metrics: metrics.NewSet(), started: time.Now()}
 	n.set.Store(set)
 	n.log = oplog.New(os.Stdout, oplog.Fields{"instance": set.Name, "zone": set.Zone}, oplog.Options{
-		LinesPerSecond: set.Log.LinesPerSecond, Burst: set.Log.Burst, Buffer: set.Log.Buffer,
+		LinesPerSecond: set.Log.LinesPerSecond, Burst: set.Log.Burst, Buffer: set.Log.Buffer, Least: level,
 	})
 	n.pool = leafconn.New(leafconn.Options{
 		DialTimeout: settings.Duration(set.Leafs.DialTimeoutMs),
--- /dev/null
+++ b/pkg/oplog/levels.go
@@ -0,0 +1,57 @@
+package oplog
+
+import "github.com/sirupsen/logrus"
+
+// Level is how much attention a line asks for.
+type Level = logrus.Level
+
+// ParseLevel reads a level from the settings: debug, info, warn or error.
+func ParseLevel(text string) (Level, error) { return logrus.ParseLevel(text) }
+
+// levels are those of the events that are not information. A warning is a lost dependency, a
+// message that cannot be read, or a request that brought no answer after it had begun; an
+// error is what an operator has to mend.
+var levels = map[string]Level{
+	"second_request":   logrus.DebugLevel,
+	"leaf_call_failed": logrus.DebugLevel,
+	"caller_left":      logrus.DebugLevel,
+	"peer_connected":   logrus.DebugLevel,
+
+	"store_lost":                logrus.WarnLevel,
+	"store_history_gone":        logrus.WarnLevel,
+	"store_behind_feed":         logrus.WarnLevel,
+	"store_feed_contradicted":   logrus.WarnLevel,
+	"store_entry_unreadable":    logrus.WarnLevel,
+	"feed_page_refused":         logrus.WarnLevel,
+	"zone_lost":                 logrus.WarnLevel,
+	"isolated":                  logrus.WarnLevel,
+	"leaf_down":                 logrus.WarnLevel,
+	"leaf_keep_alive_malformed": logrus.WarnLevel,
+	"deadline_malformed":        logrus.WarnLevel,
+	"member_suspect":            logrus.WarnLevel,
+	"member_dead":               logrus.WarnLevel,
+	"member_message_malformed":  logrus.WarnLevel,
+	"member_message_failed":     logrus.WarnLevel,
+	"peer_lost":                 logrus.WarnLevel,
+	"peer_silent":               logrus.WarnLevel,
+	"peer_unreached":            logrus.WarnLevel,
+	"peer_connection_ended":     logrus.WarnLevel,
+	"peer_accept_failed":        logrus.WarnLevel,
+	"peer_connections_too_many": logrus.WarnLevel,
+	"gatherer_lost":             logrus.WarnLevel,
+	"request_failed":            logrus.WarnLevel,
+	"query_failed":              logrus.WarnLevel,
+	"query_ended_elsewhere":     logrus.WarnLevel,
+
+	"reload_failed":            logrus.ErrorLevel,
+	"settings_file_unreadable": logrus.ErrorLevel,
+	"status_server_ended":      logrus.ErrorLevel,
+}
+
+// levelOf is the level of an event.
+func levelOf(event string) Level {
+	if l, ok := levels[event]; ok {
+		return l
+	}
+	return logrus.InfoLevel
+}
--- a/pkg/oplog/oplog.go
+++ b/pkg/oplog/oplog.go
@@ -30,6 +30,8 @@
 	Burst int
 	// Buffer is how many lines wait for the output at most.
 	Buffer int
+	// Least is the level below which lines are not written; zero: all are.
+	Least Level
 }
 
 // Log is a bounded, non-blocking log. It is safe for concurrent use.
@@ -57,6 +59,7 @@
 func New(w io.Writer, base Fields, opts Options) *Log {
 	out := logrus.New()
 	out.SetOutput(w)
+	out.SetLevel(logrus.DebugLevel)
 	out.SetFormatter(&logrus.JSONFormatter{
 		TimestampFormat: "2006-01-02T15:04:05.000Z07:00",
 		FieldMap:        logrus.FieldMap{logrus.FieldKeyMsg: "event"},
@@ -78,13 +81,16 @@
 		if e == nil {
 			return
 		}
-		e.Log(logrus.InfoLevel, e.Message)
+		e.Log(e.Level, e.Message)
 	}
 }
 
 // Decision records a decision that touches a request. It is subject to the
 // budget of its event; the next line says how many were left out.
 func (l *Log) Decision(event string, fields Fields) {
+	if !l.writes(event) {
+		return
+	}
 	l.mu.Lock()
 	k := l.kinds[event]
 	if k == nil {
@@ -108,7 +114,14 @@
 
 // State records a change of what the process believes: it is written even
 // when the budget of decisions is used up.
-func (l *Log) State(event string, fields Fields) { l.enqueue(event, fields) }
+func (l *Log) State(event string, fields Fields) {
+	if l.writes(event) {
+		l.enqueue(event, fields)
+	}
+}
+
+// writes reports whether lines of an event are written at all.
+func (l *Log) writes(event string) bool { return l.opts.Least == 0 || levelOf(event) <= l.opts.Least }
 
 // enqueue never blocks: a full buffer drops the line and counts it.
 func (l *Log) enqueue(event string, fields Fields) {
@@ -121,7 +134,7 @@
 	if n := l.dropped.Load(); n > 0 {
 		all["lines_dropped_total"] = n
 	}
-	e := &logrus.Entry{Logger: l.out, Data: all, Time: time.Now(), Message: event}
+	e := &logrus.Entry{Logger: l.out, Data: all, Time: time.Now(), Message: event, Level: levelOf(event)}
 	select {
 	case l.lines <- e:
 	default:
--- a/pkg/oplog/oplog_test.go
+++ b/pkg/oplog/oplog_test.go
@@ -97,3 +97,24 @@
 	l.State("late", nil)
 	require.LessOrEqual(t, len(out.lines()), options.Buffer+2)
 }
+
+// Operators filter by level: a lost dependency is a warning, and a level below the least one
+// is neither written nor counted against a budget.
+func TestLevels(t *testing.T) {
+	var out bytes.Buffer
+	least, err := ParseLevel("warn")
+	require.NoError(t, err)
+	l := New(&out, nil, Options{LinesPerSecond: 5, Burst: 20, Buffer: 16, Least: least})
+	l.Decision("second_request", Fields{})
+	l.Decision("query_refused", Fields{})
+	l.State("store_lost", Fields{})
+	l.State("reload_failed", Fields{})
+	l.State("started", Fields{})
+	l.Close(time.Second)
+	require.Equal(t, 2, strings.Count(out.String(), "\n"))
+	require.Contains(t, out.String(), `"event":"store_lost","level":"warning"`)
+	require.Contains(t, out.String(), `"event":"reload_failed","level":"error"`)
+	require.Zero(t, l.Summed())
+	_, err = ParseLevel("loud")
+	require.Error(t, err)
+}
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -123,10 +123,14 @@
 	MaxInFlight    int `yaml:"max_in_flight"`
 	Workers        int `yaml:"workers"`
 	MaxConnections int `yaml:"max_connections"`
+	// MaxPeerConnections bounds the connections of peers.
+	MaxPeerConnections int `yaml:"max_peer_connections"`
 }
 
 // NodeLog bounds the log.
 type NodeLog struct {
+	// Level is the least level of lines that are written: debug, info, warn or error.
+	Level          string  `yaml:"level"`
 	LinesPerSecond float64 `yaml:"lines_per_second"`
 	Burst          int     `yaml:"burst"`
 	Buffer         int     `yaml:"buffer"`
@@ -234,10 +238,11 @@
 			FirstStartWaitMs: 2000,
 		},
 		Machine: NodeMachine{Processor: 1},
-		// An instance may open 4,100 descriptors, 200 of them for files; 900
-		// are left for leafs, the store and operators.
-		Limits: NodeLimits{MaxInFlight: 400, Workers: 4096, MaxConnections: 3000},
-		Log:    NodeLog{LinesPerSecond: 5, Burst: 20, Buffer: 512},
+		// An instance may open 4,100 descriptors, 200 of them for files; 500
+		// are left for leafs, the store and operators. Of 195 instances one has 150
+		// peers at most.
+		Limits: NodeLimits{MaxInFlight: 400, Workers: 4096, MaxConnections: 3000, MaxPeerConnections: 400},
+		Log:    NodeLog{Level: "debug", LinesPerSecond: 5, Burst: 20, Buffer: 512},
 		Tick:   50,
 		Reload: NodeReload{EveryMs: 2000},
 		Bounds: NodeDeclared{ContactMs: 4000, GraceMs: 6000, ApplyMs: 3000, DrainMs: 3000, SecondRatio: 0.2, SecondWindowMs: 10000},
@@ -297,6 +302,8 @@
 		positive("limits.max_in_flight", n.Limits.MaxInFlight),
 		positive("limits.workers", n.Limits.Workers),
 		positive("limits.max_connections", n.Limits.MaxConnections),
+		positive("limits.max_peer_connections", n.Limits.MaxPeerConnections),
+		oneOf("log.level", n.Log.Level, "debug", "info", "warn", "error"),
 		positive("log.lines_per_second", n.Log.LinesPerSecond),
 		positive("log.burst", n.Log.Burst),
 		positive("log.buffer", n.Log.Buffer),
