The peers' port is bounded; a late timer looks at replies first

Cause: a stranger's silent connections to the peers' port were all accepted and held a descriptor each for 2 s; one sender's datagrams put 75,000 invented members in. A query's timer takes over the replies that are there, and after this process has stood still gives them 2 ms to be read.

--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -174,18 +174,27 @@
 func (r *gathering) wait() Answer {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
+	waited := false
 	for {
 		now := time.Now()
 		if state := r.query.State(now); state != fanout.Running {
 			return r.answer(state)
 		}
-		timer.Reset(r.query.Next(now).Sub(now))
+		due := r.query.Next(now)
+		if waited {
+			due = now.Add(repliesGrace)
+		}
+		timer.Reset(due.Sub(now))
 		select {
 		case group := <-r.replies:
-			for _, a := range group {
-				r.take(a)
-			}
+			r.takeAll(group)
 		case <-timer.C:
+			if r.takeReady() {
+				continue
+			}
+			if waited = !waited && time.Since(due) > stoodStill; waited {
+				continue
+			}
 			r.send(r.query.Tick(time.Now()))
 		case <-r.caller.Done():
 			r.endAll()
@@ -197,6 +206,40 @@
 	}
 }
 
+const (
+	// stoodStill is how late a timer may be before this process itself is taken to have
+	// stood still: timers are a millisecond or two late on a busy machine.
+	stoodStill = 8 * time.Millisecond
+	// repliesGrace is how long replies that have come meanwhile may take to be read.
+	repliesGrace = 2 * time.Millisecond
+)
+
+// takeReady takes over all replies that are there, and reports whether there were any.
+//
+// On a machine short of processor time a timer and replies come due together. Looked at
+// first, the timer says that leafs are slow which have answered long ago; their second
+// requests use the budget up that a slow one needs a moment later. One notices that a server
+// that is cold costs coverage although another one is well, beside a busy machine only.
+func (r *gathering) takeReady() bool {
+	any := false
+	for {
+		select {
+		case group := <-r.replies:
+			r.takeAll(group)
+			any = true
+		default:
+			return any
+		}
+	}
+}
+
+// takeAll hands replies that came together to the query.
+func (r *gathering) takeAll(group []arrival) {
+	for _, a := range group {
+		r.take(a)
+	}
+}
+
 // take hands one reply to the query.
 func (r *gathering) take(a arrival) {
 	s := &r.shards[a.shard]
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -12,6 +12,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Status is what is believed of a member.
@@ -132,6 +134,8 @@
 	cursor   string
 	leaving  bool
 	changes  []Member
+	// newcomers bounds how many members are taken in.
+	newcomers *rate.Limiter
 }
 
 // helped is a ping sent for another member.
@@ -146,6 +150,7 @@
 	s := &State{
 		opts: opts, self: self, seeds: seeds, rng: rng,
 		members: make(map[string]*member), helping: make(map[uint64]helped),
+		newcomers: rate.NewLimiter(newPerSecond, newAtOnce),
 	}
 	s.startedAt, s.probedAt, s.tickedAt = now, now, now
 	s.spread(s.self)
@@ -213,7 +218,7 @@
 	if have != nil && !supersedes(m, have.Member) {
 		return false
 	}
-	if have == nil && m.Status != Alive {
+	if have == nil && (m.Status != Alive || !s.roomFor(now)) {
 		return false // Never met, and not to be met.
 	}
 	if have == nil {
@@ -231,6 +236,23 @@
 	return true
 }
 
+const (
+	// membersMost bounds the list: three times the largest fleet that is planned for.
+	membersMost = 4096
+	// newPerSecond and newAtOnce bound how fast it grows: a fleet of 1,200 is known within
+	// some seconds.
+	newPerSecond = 400
+	newAtOnce    = 800
+)
+
+// roomFor reports whether one more member may be taken in.
+//
+// One sender can name any number of members that do not exist. Without a bound the list takes
+// the instance's memory, and looking after it its processor.
+func (s *State) roomFor(now time.Time) bool {
+	return len(s.members) < membersMost && s.newcomers.AllowN(now, 1)
+}
+
 // supersedes reports whether statement a holds against b.
 func supersedes(a, b Member) bool {
 	if a.Incarnation != b.Incarnation {
--- a/pkg/membership/membership_test.go
+++ b/pkg/membership/membership_test.go
@@ -307,3 +307,19 @@
 	require.EqualValues(t, 8, s.Self().Incarnation, "it objects")
 	require.Equal(t, "unknown", Status(99).String())
 }
+
+// Symptom: an instance spends half of a processor on members that do not exist. Sequence: one
+// sender names 75,000 of them in 5,000 messages. Cause it guards against: taking in whoever is
+// named.
+func TestInventedMembersAreBounded(t *testing.T) {
+	now := time.Unix(1, 0)
+	s := New(Member{Name: "a", Addr: "10.0.0.1:1", Zone: "z"}, nil, Defaults(), rand.New(rand.NewPCG(1, 2)), now)
+	for i := range 5000 {
+		m := Message{Kind: List, From: Member{Name: "liar", Addr: "10.0.0.2:1"}}
+		for j := range 15 {
+			m.Updates = append(m.Updates, Member{Name: fmt.Sprint(i, "-", j), Addr: "10.0.0.3:1", Zone: "z"})
+		}
+		s.Receive(m, now.Add(time.Duration(i)*time.Millisecond))
+	}
+	require.LessOrEqual(t, len(s.Members()), newAtOnce+5*newPerSecond)
+}
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -133,7 +133,7 @@
 func (p *Peers) receive() {
 	buffer := make([]byte, datagram)
 	for {
-		n, _, err := p.udp.ReadFromUDPAddrPort(buffer)
+		n, from, err := p.udp.ReadFromUDPAddrPort(buffer)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -147,6 +147,11 @@
 			p.log.Decision("member_message_malformed", oplog.Fields{"error": err.Error()})
 			continue
 		}
+		if from.String() != m.From.Addr {
+			// Whoever sends for another one could say of anybody that it has left.
+			p.log.Decision("member_message_malformed", oplog.Fields{"from": from.String(), "claims": m.From.Addr, "error": "sent from another address"})
+			continue
+		}
 		p.mu.Lock()
 		out := p.members.Receive(m, time.Now())
 		p.logChanges()
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -18,6 +18,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/fanout"
 	"github.com/indigoyoke/indigoyoke/pkg/gateway"
 	"github.com/indigoyoke/indigoyoke/pkg/membership"
+	"github.com/indigoyoke/indigoyoke/pkg/mutate"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
@@ -93,7 +94,7 @@
 		t: t, table: replica.NewTable(replica.Options{}), leafs: &fakeLeafs{do: do},
 		silent: make(chan struct{}, 16), ended: make(chan error, 16),
 	}
-	b.server, err = NewServer(ln, b.table, b.leafs, b.queries, textCodec{}, 64, quietLog())
+	b.server, err = NewServer(ln, b.table, b.leafs, b.queries, textCodec{}, 64, 200, quietLog())
 	require.NoError(t, err)
 	go b.server.Run()
 	t.Cleanup(b.server.Close)
@@ -339,6 +340,37 @@
 	require.Error(t, err)
 }
 
+// Symptom: an instance finds no descriptor for its own calls. Sequence: a stranger opens
+// connections to the peers' port and says nothing. Cause it guards against: accepting them
+// without a bound. A peer that says who it is is served as soon as some have timed out.
+func TestSilentConnectionsAreBounded(t *testing.T) {
+	b := newBench(t, func(_ context.Context, call gateway.LeafCall) gateway.LeafReply { return answered(call) })
+	var silent []net.Conn
+	for range 3 * greetingMost {
+		conn, err := net.Dial("tcp", b.server.listener.Addr().String())
+		require.NoError(t, err)
+		silent = append(silent, conn)
+	}
+	t.Cleanup(func() {
+		for _, conn := range silent {
+			_ = conn.Close()
+		}
+	})
+	open := func() int {
+		b.server.mu.Lock()
+		defer b.server.mu.Unlock()
+		require.LessOrEqual(t, b.server.greeting, greetingMost)
+		return len(b.server.conns)
+	}
+	require.Eventually(t, func() bool { return b.server.turned.Load() >= 2*greetingMost-1 }, 10*time.Second, time.Millisecond)
+	require.LessOrEqual(t, open(), greetingMost+1)
+	got := make(sink, 4)
+	_, ok := b.conn.send(message(time.Second, leafs("a")), got.take)
+	require.True(t, ok)
+	require.Equal(t, replica.Answered, (<-got)[0].Reply.Outcome, "who is connected is served")
+	require.Eventually(t, func() bool { return open() == 1 }, 20*time.Second, 10*time.Millisecond)
+}
+
 // Texts are sent once on a connection, whatever their number.
 func TestTextsAreSentOnce(t *testing.T) {
 	w := refWriter{numbers: map[string]uint16{}}
@@ -365,15 +397,21 @@
 // FuzzFrames: whatever a peer sends, reading a frame ends, and replies to calls that are
 // not open are dropped.
 func FuzzFrames(f *testing.F) {
-	for k, v := range map[kind]any{
-		kindHello: hello{Version: 1}, kindBatch: batch{Number: 1, Leafs: []ref{{Number: 1, Text: "a b"}}},
-		kindFlush: flush{Number: 1, Parts: []part{{Leaf: 9}}}, kindQuery: query{Number: 1, PatienceUs: 9},
-		kindAnswer: answer{Number: 1, Lacks: []byte{0, 1}, Proofs: []string{"p"}}, kindCancel: numbered{Number: 1},
+	var seeds [][]byte
+	for _, frame := range []struct {
+		kind kind
+		v    any
+	}{
+		{kindHello, hello{Version: 1}}, {kindBatch, batch{Number: 1, Leafs: []ref{{Number: 1, Text: "a b"}}}},
+		{kindFlush, flush{Number: 1, Parts: []part{{Leaf: 9}}}}, {kindQuery, query{Number: 1, PatienceUs: 9}},
+		{kindAnswer, answer{Number: 1, Lacks: []byte{0, 1}, Proofs: []string{"p"}}}, {kindCancel, numbered{Number: 1}},
+		{kindNews, news{Revision: 3}}, {kindListen, listen{After: 3}},
 	} {
 		var buffer bytes.Buffer
-		_ = writeFrame(bufio.NewWriter(&buffer), k, v)
-		f.Add(buffer.Bytes())
+		_ = writeFrame(bufio.NewWriter(&buffer), frame.kind, frame.v)
+		seeds = append(seeds, buffer.Bytes())
 	}
+	mutate.Add(f, seeds...)
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		_, content, err := readFrame(bufio.NewReader(bytes.NewReader(raw)))
 		if err != nil {
--- a/pkg/peers/queries_test.go
+++ b/pkg/peers/queries_test.go
@@ -128,7 +128,7 @@
 			return
 		}
 		<-wake
-		s := &Server{codec: textCodec{}, log: quietLog(), conns: map[net.Conn]struct{}{}, queries: scriptedQueries(
+		s := &Server{codec: textCodec{}, log: quietLog(), conns: map[net.Conn]struct{}{}, greeting: 1, queries: scriptedQueries(
 			func(context.Context, *gateway.Request, int64, func()) (gateway.Answer, bool) {
 				ran <- struct{}{}
 				return gateway.Answer{}, false
--- a/pkg/peers/server.go
+++ b/pkg/peers/server.go
@@ -45,21 +45,27 @@
 	Batches, Calls, Gathered atomic.Int64
 	active                   atomic.Int64
 
+	// connsMost bounds the connections; turned counts those that were closed for it.
+	connsMost int
+	turned    atomic.Int64
+
 	mu    sync.Mutex
 	conns map[net.Conn]struct{}
+	// greeting is how many connections have not said yet who calls.
+	greeting int
 }
 
 // helloTimeout bounds the first frame of a connection.
 const helloTimeout = 2 * time.Second
 
-// NewServer serves on a listener; workers bounds the leaf calls in flight. queries may be
-// nil where none are run for peers.
-func NewServer(ln net.Listener, table *replica.Table, leafs gateway.Leafs, queries Queries, codec Codec, workers int, log *oplog.Log) (*Server, error) {
+// NewServer serves on a listener; workers bounds the leaf calls in flight, connsMost the
+// connections. queries may be nil where none are run for peers.
+func NewServer(ln net.Listener, table *replica.Table, leafs gateway.Leafs, queries Queries, codec Codec, workers, connsMost int, log *oplog.Log) (*Server, error) {
 	pool, err := ants.NewPool(workers, ants.WithNonblocking(true))
 	if err != nil {
 		return nil, err
 	}
-	return &Server{listener: ln, queries: queries, table: table, leafs: leafs, codec: codec, pool: pool, log: log, conns: make(map[net.Conn]struct{})}, nil
+	return &Server{listener: ln, queries: queries, table: table, leafs: leafs, codec: codec, pool: pool, log: log, connsMost: connsMost, conns: make(map[net.Conn]struct{})}, nil
 }
 
 // Run accepts peers until Close.
@@ -76,13 +82,44 @@
 			time.Sleep(acceptPause)
 			continue
 		}
-		s.mu.Lock()
-		s.conns[conn] = struct{}{}
-		s.mu.Unlock()
+		if !s.admit(conn) {
+			_ = conn.Close() // As if it had not been accepted.
+			continue
+		}
 		go s.serve(conn)
 	}
 }
 
+// greetingMost is how many connections may be open that have not said who calls: those of a
+// fleet's instances that connect at the same moment. They have 2 s for it.
+const greetingMost = 64
+
+// admit takes a connection unless there are too many.
+//
+// Whoever reaches the port can open connections and say nothing. Each holds a descriptor; one
+// notices that an instance finds none for its own calls to leafs and for its callers.
+func (s *Server) admit(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.conns) >= s.connsMost || s.greeting >= greetingMost {
+		s.turned.Add(1)
+		s.log.Decision("peer_connections_too_many", oplog.Fields{"open": len(s.conns), "without_greeting": s.greeting})
+		return false
+	}
+	s.conns[conn] = struct{}{}
+	s.greeting++
+	return true
+}
+
+// greeted notes that a connection has said who calls, or has ended before.
+func (c *serverConn) greeted() {
+	c.once.Do(func() {
+		c.s.mu.Lock()
+		defer c.s.mu.Unlock()
+		c.s.greeting--
+	})
+}
+
 // acceptPause is how long accepting waits after an error.
 const acceptPause = 50 * time.Millisecond
 
@@ -129,6 +166,7 @@
 
 	// stopFeeding ends feeding the peer; nil while it is not fed. mu guards it.
 	stopFeeding context.CancelFunc
+	once        sync.Once
 	// beating: the next word that this instance is well is due.
 	beating atomic.Bool
 
@@ -151,6 +189,7 @@
 		texts: refReader{texts: make(map[uint16]string)}, cancels: make(map[uint64]context.CancelFunc),
 	}
 	err := c.read(bufio.NewReader(conn))
+	c.greeted()
 	if err != nil && !errors.Is(err, io.EOF) && !errors.Is(err, net.ErrClosed) {
 		s.log.Decision("peer_connection_ended", oplog.Fields{"peer": c.peer.Name, "error": err.Error()})
 	}
@@ -171,6 +210,7 @@
 	if c.peer.Version != version {
 		return errVersion
 	}
+	c.greeted()
 	if err := c.conn.SetReadDeadline(time.Time{}); err != nil {
 		return err
 	}
