Instances that hand their queries on hear whether their zone is cut off

Cause: an instance that asks no leafs does not notice that its zone is cut off from them. It went on saying that it is ready, and the balancer sent it callers whom its zone could only refuse.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -246,5 +246,6 @@
 
 // ready reports whether callers are to be sent here.
 func (n *Node) ready() bool {
-	return n.gateway.Config() != nil && !n.draining.Load() && !n.gateway.Isolated(time.Now())
+	now := time.Now()
+	return n.gateway.Config() != nil && !n.draining.Load() && !n.gateway.Isolated(now) && !n.peering.isolated(now)
 }
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -52,7 +52,7 @@
 	}
 	if set.Peers.Feed {
 		n.follower.OnChange(server.Changed)
-		server.Feed(n.follower)
+		server.Feed(n.follower, func() bool { return n.gateway.Isolated(time.Now()) })
 		agent.Listen(n.follower, feed.Options{Fresh: set.FeedCycle() + newsLate, StartWait: set.StartWait()}, set.Peers.FirstStart)
 		n.follower.SetReading(false) // Until the agent has decided.
 	}
@@ -133,6 +133,9 @@
 	return out
 }
 
+// isolated reports whether the peers that run this instance's queries are isolated.
+func (p *peering) isolated(now time.Time) bool { return p != nil && p.agent.Isolated(now) }
+
 // connected lists the peers that queries may go through.
 func (p *peering) connected() []string {
 	if p == nil {
--- a/pkg/peers/feeds.go
+++ b/pkg/peers/feeds.go
@@ -50,6 +50,9 @@
 	// AgeMs is how long ago the store last answered the peer or one that feeds it, and
 	// OwnAgeMs the peer itself; unproven if it has not.
 	AgeMs, OwnAgeMs uint32
+	// Isolated: the peer is cut off from leafs so that its callers are better served by
+	// another zone.
+	Isolated bool
 }
 
 // age is how long ago a time was, for news.
@@ -84,7 +87,8 @@
 
 // feeder is the part of a server that feeds others.
 type feeder struct {
-	store Store
+	store    Store
+	isolated func() bool
 
 	mu    sync.Mutex
 	wakes map[*serverConn]chan struct{}
@@ -94,9 +98,10 @@
 	packedFull           bool
 }
 
-// Feed lets the server feed its peers. It is called before Run.
-func (s *Server) Feed(store Store) {
-	s.feeder = &feeder{store: store, wakes: make(map[*serverConn]chan struct{})}
+// Feed lets the server feed its peers, and tell them whether this instance is isolated. It is
+// called before Run.
+func (s *Server) Feed(store Store, isolated func() bool) {
+	s.feeder = &feeder{store: store, isolated: isolated, wakes: make(map[*serverConn]chan struct{})}
 }
 
 // Changed tells those that are fed that there is something new.
@@ -178,6 +183,7 @@
 	// The times first: the revision is then at least that of the answers.
 	n := news{AgeMs: age(f.store.ProvenAt()), OwnAgeMs: age(f.store.AnsweredAt())}
 	n.Revision = f.store.Revision()
+	n.Isolated = f.isolated()
 	return sent, c.write(kindNews, n)
 }
 
@@ -230,8 +236,11 @@
 }
 
 // heard is what one that is listened to has said: when the store last answered it itself,
-// and when it said so.
-type heard struct{ answeredAt, at time.Time }
+// whether it is isolated, and when it said so.
+type heard struct {
+	answeredAt, at time.Time
+	isolated       bool
+}
 
 // Listen lets the agent be fed by its peers; firstStart: all instances start for the first
 // time. It is called before Run.
@@ -247,7 +256,8 @@
 	}
 	if p.roles.near+1 < feed.LeastMembers && (p.feeds.store.Known() || !p.feeds.firstStart && p.roles.others > 0) {
 		p.feeds.store.SetReading(true)
-		return nil
+		ahead := p.names(p.roles.ahead, now)
+		return ahead[:min(len(ahead), feed.Readers)]
 	}
 	listen, read := p.feeds.plan.Step(feed.View{
 		Ahead: p.names(p.roles.ahead, now), Behind: p.names(p.roles.behind, now),
@@ -258,6 +268,31 @@
 	return listen
 }
 
+// Isolated reports whether those that run this instance's queries are isolated.
+//
+// An instance that hands its queries on asks no leafs, and does not notice that its zone is
+// cut off from them. If it goes on to say that it is ready the balancer sends it callers that
+// its zone can only refuse, while other zones could serve them.
+func (p *Peers) Isolated(now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.feeds == nil || len(p.roles.gatherers) == 0 {
+		return false
+	}
+	said := false
+	for name, c := range p.conns {
+		h := p.feeds.heard[name]
+		if !c.listening || now.Sub(h.at) > newsMissed {
+			continue
+		}
+		if !h.isolated {
+			return false
+		}
+		said = true
+	}
+	return said
+}
+
 // names are those of members that are not avoided; mu is held.
 func (p *Peers) names(members []membership.Member, now time.Time) []string {
 	var out []string
@@ -308,7 +343,7 @@
 func (p *Peers) heardNews(c *clientConn, n news) {
 	now := time.Now()
 	p.mu.Lock()
-	p.feeds.heard[c.peer.Name] = heard{answeredAt: ago(n.OwnAgeMs, now), at: now}
+	p.feeds.heard[c.peer.Name] = heard{answeredAt: ago(n.OwnAgeMs, now), at: now, isolated: n.Isolated}
 	p.mu.Unlock()
 	proven := ago(n.AgeMs, now)
 	switch {
--- a/pkg/peers/feeds_test.go
+++ b/pkg/peers/feeds_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -65,11 +66,12 @@
 	*bench
 	agent      *Peers
 	here, peer *memory
+	isolated   atomic.Bool
 }
 
 func newFeedBench(t *testing.T) *feedBench {
 	b := &feedBench{bench: newBench(t, nil), here: newMemory(), peer: newMemory()}
-	b.server.Feed(b.peer)
+	b.server.Feed(b.peer, b.isolated.Load)
 	b.agent = &Peers{log: quietLog(), conns: map[string]*clientConn{}, avoid: map[string]time.Time{}}
 	b.agent.Listen(b.here, feed.Options{Fresh: 2 * time.Second}, false)
 	b.attach(b.conn)
@@ -183,6 +185,27 @@
 	require.ErrorIs(t, <-b.ended, errFrameSize)
 }
 
+// Symptom: callers of a zone that is cut off are refused by it, although other zones could
+// serve them. Sequence: those that run the zone's queries notice, the others ask no leafs and
+// go on saying that they are ready. Cause it guards against: each looking at itself only.
+func TestIsolationIsHeardOf(t *testing.T) {
+	b := newFeedBench(t)
+	b.listenTo()
+	b.agent.mu.Lock()
+	b.agent.roles.gatherers = []membership.Member{{Name: "peer"}}
+	b.agent.mu.Unlock()
+	b.isolated.Store(true)
+	b.eventually(func() bool { return b.agent.Isolated(time.Now()) })
+	require.False(t, b.agent.Isolated(time.Now().Add(2*newsMissed)), "what is not said again does not hold")
+	b.isolated.Store(false)
+	b.eventually(func() bool { return !b.agent.Isolated(time.Now()) })
+	b.agent.mu.Lock()
+	b.agent.roles.gatherers = nil
+	b.agent.mu.Unlock()
+	b.isolated.Store(true)
+	require.Never(t, func() bool { return b.agent.Isolated(time.Now()) }, 2*newsEvery, newsEvery/4, "one that runs queries looks for itself")
+}
+
 // In a zone of few each reads the store for itself; in one of many those after the first two
 // are fed.
 func TestWhoReadsTheStore(t *testing.T) {
