Names and files: batches, listed leafs, queries and feeds apart

"Relay" named three things: the product's own configuration relay keeps the name, requests that go through a peer are batches (gateway.Batcher, peers.batches), the platform's codec for peers is peercodec.go. replica/membership.go, which is about leafs that are listed, is listed.go; pkg/membership is about instances. gateway.go, peers.go, queries and feeds are split by what they do. Behaviour as before.

--- a/pkg/gateway/relay.go
+++ b/pkg/gateway/batches.go
@@ -8,13 +8,13 @@
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
 
-// Relay sends requests of one query through a peer in the availability zone of their
+// Batcher sends requests of one query through a peer in the availability zone of their
 // leafs.
-type Relay interface {
+type Batcher interface {
 	// Send reports whether a peer took the batch; if not, nothing was sent. take is
 	// called with replies as they come, each call exactly once in all; the replies of
 	// one call of it belong together. cancel ends the work of a batch.
-	Send(b Batch, take func([]RelayedReply)) (cancel func(), ok bool)
+	Send(b Batch, take func([]BatchReply)) (cancel func(), ok bool)
 }
 
 // Batch are requests of a query to leafs of one zone.
@@ -30,11 +30,11 @@
 	Flush, Step time.Duration
 }
 
-// RelayedReply is what became of one call of a batch.
+// BatchReply is what became of one call of a batch.
 //
 // The records of all successes in one call of take are merged into the content of the
 // first: either all of these parts go into the answer, or none.
-type RelayedReply struct {
+type BatchReply struct {
 	// Call is the index in Batch.Calls.
 	Call  int
 	Reply LeafReply
@@ -51,11 +51,11 @@
 	stepAtTypical = 0.15
 )
 
-// relay hands requests to leafs of other zones to peers there, and returns the sends
+// throughPeers hands requests to leafs of other zones to peers there, and returns the sends
 // that remain to be sent directly. First requests go together. A second one goes alone:
 // its records must be told from those of the first, whichever comes.
-func (r *gathering) relay(sends []fanout.Send) []fanout.Send {
-	if r.g.relay == nil {
+func (r *gathering) throughPeers(sends []fanout.Send) []fanout.Send {
+	if r.g.batcher == nil {
 		return sends
 	}
 	zones := make(map[string][]fanout.Send)
@@ -89,15 +89,15 @@
 	for _, s := range sends {
 		b.Calls = append(b.Calls, LeafCall{Leaf: s.Call.Leaf, Service: r.route.Shards[s.Shard], Request: r.req, Deadline: s.Deadline})
 	}
-	cancel, ok := r.g.relay.Send(b, func(replies []RelayedReply) { r.relayed(sends, b.Calls, replies) })
+	cancel, ok := r.g.batcher.Send(b, func(replies []BatchReply) { r.batchReplied(sends, b.Calls, replies) })
 	if ok {
 		r.cancels = append(r.cancels, cancel)
 	}
 	return ok
 }
 
-// relayed takes over replies that belong together.
-func (r *gathering) relayed(sends []fanout.Send, calls []LeafCall, replies []RelayedReply) {
+// batchReplied takes over replies that belong together.
+func (r *gathering) batchReplied(sends []fanout.Send, calls []LeafCall, replies []BatchReply) {
 	group := make([]arrival, 0, len(replies))
 	now := time.Now()
 	successes := 0
--- a/pkg/gateway/relay_test.go
+++ b/pkg/gateway/batches_test.go
@@ -13,24 +13,24 @@
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 )
 
-// scriptedRelay hands batches to a function.
-type scriptedRelay struct {
-	send    func(b Batch, take func([]RelayedReply)) bool
+// scriptedBatcher hands batches to a function.
+type scriptedBatcher struct {
+	send    func(b Batch, take func([]BatchReply)) bool
 	batches atomic.Int64
 	ended   atomic.Int64
 }
 
-func (s *scriptedRelay) Send(b Batch, take func([]RelayedReply)) (func(), bool) {
+func (s *scriptedBatcher) Send(b Batch, take func([]BatchReply)) (func(), bool) {
 	s.batches.Add(1)
 	return func() { s.ended.Add(1) }, s.send(b, take)
 }
 
 // merged answers all calls of a batch together.
-func merged(b Batch, take func([]RelayedReply)) {
-	var group []RelayedReply
+func merged(b Batch, take func([]BatchReply)) {
+	var group []BatchReply
 	for i := range b.Calls {
 		content := fmt.Sprint("merged ", i)
-		group = append(group, RelayedReply{Call: i, Took: time.Millisecond, Reply: LeafReply{Outcome: replica.Answered, Content: content}})
+		group = append(group, BatchReply{Call: i, Took: time.Millisecond, Reply: LeafReply{Outcome: replica.Answered, Content: content}})
 	}
 	take(group)
 }
@@ -39,7 +39,7 @@
 func TestFirstRequestsAreBatched(t *testing.T) {
 	for _, taken := range []bool{true, false} {
 		g := newGateway(t, 4, answered)
-		relay := &scriptedRelay{send: func(b Batch, take func([]RelayedReply)) bool {
+		batcher := &scriptedBatcher{send: func(b Batch, take func([]BatchReply)) bool {
 			require.Equal(t, "z", b.Zone)
 			require.Len(t, b.Calls, 4)
 			if taken {
@@ -47,15 +47,15 @@
 			}
 			return taken
 		}}
-		g.UseRelay(relay, "elsewhere")
+		g.UseBatcher(batcher, "elsewhere")
 		a := ask(g, "/all/x")
 		require.Equal(t, errcode.OK, a.Code)
 		require.Zero(t, a.Missing())
-		require.EqualValues(t, 1, relay.batches.Load())
+		require.EqualValues(t, 1, batcher.batches.Load())
 		require.Equal(t, taken, a.Shards[0].Reply.Content == "merged 0")
-		g.UseRelay(relay, "z")
+		g.UseBatcher(batcher, "z")
 		ask(g, "/all/x")
-		require.EqualValues(t, 1, relay.batches.Load(), "leafs of the own zone are asked directly")
+		require.EqualValues(t, 1, batcher.batches.Load(), "leafs of the own zone are asked directly")
 	}
 }
 
@@ -66,7 +66,7 @@
 func TestMergedRecordsReplaceAnEarlierReply(t *testing.T) {
 	second := make(chan struct{}, 8)
 	g := newGateway(t, 2, answered)
-	g.UseRelay(&scriptedRelay{send: func(b Batch, take func([]RelayedReply)) bool {
+	g.UseBatcher(&scriptedBatcher{send: func(b Batch, take func([]BatchReply)) bool {
 		switch {
 		case len(b.Calls) > 1:
 			go func() {
@@ -74,7 +74,7 @@
 				merged(b, take)
 			}()
 		case b.Calls[0].Service == "s0":
-			take([]RelayedReply{{Reply: LeafReply{Outcome: replica.Answered, Content: "alone"}}})
+			take([]BatchReply{{Reply: LeafReply{Outcome: replica.Answered, Content: "alone"}}})
 			second <- struct{}{}
 		}
 		return true
@@ -91,11 +91,11 @@
 func TestLeavingCallerEndsItsBatches(t *testing.T) {
 	g := newGateway(t, 2, answered)
 	sent := make(chan struct{})
-	relay := &scriptedRelay{send: func(Batch, func([]RelayedReply)) bool {
+	batcher := &scriptedBatcher{send: func(Batch, func([]BatchReply)) bool {
 		close(sent)
 		return true
 	}}
-	g.UseRelay(relay, "elsewhere")
+	g.UseBatcher(batcher, "elsewhere")
 	ctx, leave := context.WithCancel(t.Context())
 	go func() {
 		<-sent
@@ -103,5 +103,5 @@
 	}()
 	a := g.Handle(ctx, &Request{ID: "r", Host: "h", Path: "/all/x", Arrived: time.Now(), Patience: time.Minute})
 	require.Equal(t, errcode.CallerLeft, a.Code)
-	require.EqualValues(t, 1, relay.ended.Load())
+	require.EqualValues(t, 1, batcher.ended.Load())
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -160,9 +160,9 @@
 	log      *oplog.Log
 	stats    *Stats
 	patience *patienceTable
-	// relay is nil where queries go to all leafs directly; zone is this instance's.
-	relay Relay
-	zone  string
+	// batcher is nil where queries go to all leafs directly; zone is this instance's.
+	batcher Batcher
+	zone    string
 	// gatherers is nil where each instance runs its own queries.
 	gatherers Gatherers
 	config    atomic.Pointer[routing.Config]
@@ -188,9 +188,9 @@
 	return g, nil
 }
 
-// UseRelay lets queries of this instance, which is in the given zone, go through peers.
+// UseBatcher lets queries of this instance, which is in the given zone, go through peers.
 // It is called before requests are served.
-func (g *Gateway) UseRelay(relay Relay, zone string) { g.relay, g.zone = relay, zone }
+func (g *Gateway) UseBatcher(batcher Batcher, zone string) { g.batcher, g.zone = batcher, zone }
 
 // SetOptions puts other options in force for requests that come from now on.
 func (g *Gateway) SetOptions(opts Options) { g.opts.Store(&opts) }
@@ -204,44 +204,6 @@
 // InFlight is how many requests are being run.
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
-// SetConfig puts a configuration in force unless it is older than the one in
-// force. Requests under way keep the version that they started with.
-func (g *Gateway) SetConfig(c *routing.Config) bool {
-	if was := g.config.Load(); was != nil && c.Version <= was.Version {
-		return false
-	}
-	limits := make(map[string]int, len(c.Services))
-	for name, s := range c.Services {
-		limits[name] = s.MaxConns
-	}
-	g.table.SetMaxConns(limits)
-	g.table.SetShards(onlyShards(c))
-	g.splitter.Reset()
-	if g.config.Swap(c) == nil {
-		close(g.configured)
-	}
-	return true
-}
-
-// onlyShards are the services of a configuration that are asked as shards of queries and
-// not alone.
-func onlyShards(c *routing.Config) map[string]bool {
-	out := make(map[string]bool)
-	c.Routes(func(r *routing.Route) bool {
-		for _, name := range r.Shards {
-			out[name] = true
-		}
-		return true
-	})
-	c.Routes(func(r *routing.Route) bool {
-		for _, target := range r.Targets {
-			delete(out, target.Service)
-		}
-		return true
-	})
-	return out
-}
-
 // Handle runs one request on the published route that it matches.
 func (g *Gateway) Handle(ctx context.Context, req *Request) Answer {
 	c := g.awaitConfig(ctx)
@@ -279,28 +241,6 @@
 	return a
 }
 
-// firstConfigWait is how long a request waits for the first configuration. A
-// process that starts reads it within about 50 ms; refusing meanwhile would
-// send callers away for longer than that. With the store away, a request is
-// refused after this time.
-const firstConfigWait = 200 * time.Millisecond
-
-// awaitConfig returns the configuration in force, waiting a little for the
-// first one.
-func (g *Gateway) awaitConfig(ctx context.Context) *routing.Config {
-	if c := g.config.Load(); c != nil {
-		return c
-	}
-	timer := time.NewTimer(firstConfigWait)
-	defer timer.Stop()
-	select {
-	case <-g.configured:
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-	return g.config.Load()
-}
-
 // deadline is when the final answer must be on its way: the caller's patience
 // or the route's timeout, whichever is first, less the margin to write it and the
 // way to the caller.
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -102,7 +102,7 @@
 
 // send starts the leaf calls that the query asks for.
 func (r *gathering) send(sends []fanout.Send) {
-	for _, s := range r.relay(sends) {
+	for _, s := range r.throughPeers(sends) {
 		call := LeafCall{Leaf: s.Call.Leaf, Service: r.route.Shards[s.Shard], Request: r.req, Deadline: s.Deadline}
 		if s.Reason != fanout.First {
 			r.g.noteSecond(r.route, call, s.Reason.String())
--- /dev/null
+++ b/pkg/peers/ask.go
@@ -0,0 +1,310 @@
+package peers
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"time"
+
+	"github.com/indigoyoke/indigoyoke/pkg/errcode"
+	"github.com/indigoyoke/indigoyoke/pkg/fanout"
+	"github.com/indigoyoke/indigoyoke/pkg/gateway"
+	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+)
+
+// asked is a query that a peer was asked to run.
+type asked struct {
+	// events has room for all that can come: taken, and the outcome.
+	events chan queryEvent
+	sent   time.Time
+}
+
+// queryEvent is news of a query.
+type queryEvent struct {
+	kind   queryEventKind
+	answer answer
+}
+
+type queryEventKind int
+
+const (
+	queryTaken queryEventKind = iota
+	queryDeclined
+	queryAnswered
+	// queryLost: the connection has ended.
+	queryLost
+)
+
+// errPeerMalformed: a peer's answer does not fit its query.
+var errPeerMalformed = errors.New("answer does not fit the query")
+
+// errPeerBeats: a peer with open queries has stopped saying that it is well.
+var errPeerBeats = errors.New("no word of a peer that runs queries")
+
+// queryFrame takes over news of a query.
+func (c *clientConn) queryFrame(k kind, raw []byte) error {
+	var event queryEvent
+	var number uint64
+	var err error
+	switch k {
+	case kindTaken, kindDeclined:
+		var n numbered
+		n, err = decode[numbered](raw)
+		number = n.Number
+		event.kind = queryTaken
+		if k == kindDeclined {
+			event.kind = queryDeclined
+		}
+	case kindAnswer:
+		event.kind = queryAnswered
+		event.answer, err = decode[answer](raw)
+		number = event.answer.Number
+	default:
+		return errKind
+	}
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	q := c.asked[number]
+	if event.kind != queryTaken {
+		delete(c.asked, number)
+	}
+	if event.kind == queryAnswered && q != nil {
+		c.hop.learn(time.Since(q.sent) - micros(event.answer.HeldUs))
+	}
+	c.mu.Unlock()
+	if q == nil {
+		return nil
+	}
+	select {
+	case q.events <- event:
+	default:
+		return errPeerMalformed // It says the same again.
+	}
+	return nil
+}
+
+// hop is how long a query and its answer are on their way to and from a peer.
+type hop struct{ mean, deviation time.Duration }
+
+const (
+	// hopWeight is the weight of one query in the smoothed values.
+	hopWeight = 0.1
+	// hopDeviations covers nine hops in ten.
+	hopDeviations = 2
+	// hopFirst stands in until the first answer: a round trip in a zone, and 5 KB over a
+	// link of 20 Mbit/s.
+	hopFirst = 3 * time.Millisecond
+	// hopMost is where a peer counts as short of processor time instead.
+	hopMost = 10 * time.Millisecond
+)
+
+// learn takes over one value.
+func (h *hop) learn(took time.Duration) {
+	if h.mean == 0 {
+		h.mean, h.deviation = took, took/4
+		return
+	}
+	off := took - h.mean
+	h.mean += time.Duration(hopWeight * float64(off))
+	h.deviation += time.Duration(hopWeight * float64(off.Abs()-h.deviation))
+}
+
+// hopLocked is how much longer queries and answers are on their way through the peer; mu
+// is held.
+//
+// The peer gives an answer just before the target latency is over, as seen from there.
+// Without the hop it reaches its caller just after it; one notices that the median of a
+// kind of query comes to lie on its target (80 ms), and half of them late.
+func (c *clientConn) hopLocked() time.Duration {
+	if c.hop.mean == 0 {
+		return hopFirst
+	}
+	return min(c.hop.mean+hopDeviations*c.hop.deviation, hopMost)
+}
+
+// ask sends a query; ok is false if nothing was sent.
+func (c *clientConn) ask(q gateway.GatherQuery) (number uint64, a *asked, ok bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return 0, nil, false
+	}
+	c.number++
+	a = &asked{events: make(chan queryEvent, 3), sent: time.Now()}
+	c.asked[c.number] = a
+	req := q.Request
+	f := query{
+		Number: c.number, Request: c.texts.encode(req.ID, c.codec.Request(req.Content)), ConfigVersion: q.ConfigVersion,
+		AgeUs: uint64(time.Since(req.Arrived).Microseconds()), WayUs: uint64((req.OnTheWay + c.hopLocked()).Microseconds()),
+		PatienceUs: uint64(req.Patience.Microseconds()),
+	}
+	if err := c.writeLocked(kindQuery, f); err != nil {
+		go c.end(err)
+	}
+	return c.number, a, true
+}
+
+// drop tells the peer that nobody waits for a query any more.
+func (c *clientConn) drop(number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.asked[number] == nil {
+		return
+	}
+	delete(c.asked, number)
+	if err := c.writeLocked(kindCancel, numbered{Number: number}); err != nil {
+		go c.end(err)
+	}
+}
+
+// Ask implements gateway.Gatherers.
+func (p *Peers) Ask(ctx context.Context, q gateway.GatherQuery) (gateway.Answer, bool) {
+	c := p.gatherer(time.Now())
+	if c == nil {
+		return gateway.Answer{}, false
+	}
+	number, a, ok := c.ask(q)
+	if !ok {
+		return gateway.Answer{}, false
+	}
+	p.Handed.Add(1)
+	wait := &queryWait{p: p, c: c, number: number, asked: a, query: q}
+	return wait.run(ctx)
+}
+
+// queryWait waits for the answer to a query that a peer was asked to run.
+type queryWait struct {
+	p      *Peers
+	c      *clientConn
+	number uint64
+	asked  *asked
+	query  gateway.GatherQuery
+	// taken: the peer has said that it runs the query.
+	taken bool
+	// due is when the next word of the peer is expected at the latest.
+	due time.Time
+}
+
+// run waits for the answer.
+//
+// The peer may be killed, stand still or be cut off. As long as it has not said that it
+// runs the query this instance may run it itself, and does so soon. After that a second
+// run could reach more leafs of a shard than the route allows, and would double the load
+// of an overload; the caller is told at once that the query may have run, and comes
+// again.
+func (w *queryWait) run(ctx context.Context) (gateway.Answer, bool) {
+	timer := time.NewTimer(takenWithin)
+	defer timer.Stop()
+	w.due = time.Now().Add(takenWithin)
+	for {
+		select {
+		case e := <-w.asked.events:
+			if a, ok, done := w.event(e); done {
+				return a, ok
+			}
+			w.due = time.Now().Add(beatsMissed)
+			timer.Reset(beatsMissed)
+		case <-timer.C:
+			if a, ok, done := w.overdue(timer); done {
+				return a, ok
+			}
+		case <-ctx.Done():
+			w.c.drop(w.number)
+			return gateway.Answer{Code: errcode.CallerLeft}, true
+		}
+	}
+}
+
+// event takes over news of the query.
+func (w *queryWait) event(e queryEvent) (a gateway.Answer, ok, done bool) {
+	switch e.kind {
+	case queryTaken:
+		w.taken = true
+		return a, false, false
+	case queryAnswered:
+		a, err := w.answer(e.answer)
+		if err != nil {
+			w.c.end(err)
+			return w.lost(), true, true
+		}
+		return a, true, true
+	case queryLost:
+		if w.taken {
+			return w.lost(), true, true
+		}
+	}
+	w.p.Declined.Add(1)
+	return a, false, true
+}
+
+// overdue is called when the peer should have been heard of.
+func (w *queryWait) overdue(timer *time.Timer) (a gateway.Answer, ok, done bool) {
+	now := time.Now()
+	if now.Sub(w.due) > timerLate {
+		// This process has stood still, and the word may be waiting to be read.
+		w.due = now.Add(takenWithin)
+		timer.Reset(takenWithin)
+		return a, false, false
+	}
+	switch {
+	case !w.taken:
+		w.c.drop(w.number)
+		w.p.silent(w.c)
+		return a, false, true
+	case now.After(w.query.End.Add(answerSlack)):
+		w.c.drop(w.number)
+		return gateway.Answer{Code: errcode.RequestTimeout}, true, true
+	}
+	silent := now.Sub(time.Unix(0, w.c.heard.Load()))
+	if silent >= beatsMissed {
+		w.c.end(errPeerBeats)
+		return w.lost(), true, true
+	}
+	next := min(beatsMissed-silent, max(w.query.End.Add(answerSlack).Sub(now), time.Millisecond))
+	w.due = now.Add(next)
+	timer.Reset(next)
+	return a, false, false
+}
+
+// lost is the answer to a query whose peer is gone.
+func (w *queryWait) lost() gateway.Answer {
+	req := w.query.Request
+	w.p.log.Decision("gatherer_lost", oplog.Fields{
+		"request": req.ID, "route": w.query.Route.Name, "peer": w.c.peer.Name, "code": errcode.PeerLost.String(),
+		"after_ms": time.Since(req.Arrived).Milliseconds(),
+	})
+	return gateway.Answer{Code: errcode.PeerLost}
+}
+
+// answer decodes an answer. The merged records go with the first part.
+func (w *queryWait) answer(f answer) (gateway.Answer, error) {
+	a := gateway.Answer{Code: errcode.Code(f.Code), RetryAfter: micros(f.RetryAfterUs)}
+	if !a.Code.Known() || len(f.Lacks) != len(w.query.Route.Shards) || slices.ContainsFunc(f.Lacks, unknownLack) {
+		return a, errPeerMalformed
+	}
+	a.Shards = make([]gateway.ShardAnswer, len(f.Lacks))
+	proofs, body := f.Proofs, f.Body
+	for i, lack := range f.Lacks {
+		a.Shards[i].Lack = fanout.Lack(lack)
+		if a.Shards[i].Lack != fanout.Covered || a.Code != errcode.OK {
+			continue
+		}
+		if len(proofs) == 0 {
+			return a, errPeerMalformed
+		}
+		a.Shards[i].Reply = &gateway.LeafReply{Content: w.c.codec.Reply(proofs[0], body)}
+		proofs, body = proofs[1:], nil
+	}
+	if len(proofs) > 0 {
+		return a, errPeerMalformed
+	}
+	return a, nil
+}
+
+// unknownLack reports whether a reason is none that this instance knows.
+func unknownLack(lack byte) bool { return fanout.Lack(lack) > fanout.AllBusy }
+
+// micros is a number of microseconds as a duration.
+func micros(n uint64) time.Duration { return time.Duration(n) * time.Microsecond }
--- a/pkg/peers/conn.go
+++ b/pkg/peers/conn.go
@@ -44,7 +44,7 @@
 
 // pending is a batch whose replies are waited for.
 type pending struct {
-	take  func([]gateway.RelayedReply)
+	take  func([]gateway.BatchReply)
 	open  []bool
 	left  int
 	sent  time.Time
@@ -85,7 +85,7 @@
 
 // send puts a batch on the connection. It reports whether it was taken: if not, nothing
 // was sent.
-func (c *clientConn) send(b gateway.Batch, take func([]gateway.RelayedReply)) (cancel func(), ok bool) {
+func (c *clientConn) send(b gateway.Batch, take func([]gateway.BatchReply)) (cancel func(), ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -171,10 +171,10 @@
 // lose ends the open calls of a batch: they may have run.
 func (p *pending) lose() {
 	p.timer.Stop()
-	var lost []gateway.RelayedReply
+	var lost []gateway.BatchReply
 	for i, open := range p.open {
 		if open {
-			lost = append(lost, gateway.RelayedReply{Call: i, Reply: gateway.LeafReply{Outcome: replica.PeerLost, Err: errPeerLost}})
+			lost = append(lost, gateway.BatchReply{Call: i, Reply: gateway.LeafReply{Outcome: replica.PeerLost, Err: errPeerLost}})
 		}
 	}
 	if len(lost) > 0 {
@@ -251,8 +251,8 @@
 }
 
 // replies decodes a frame. The merged records go with the first success.
-func (p *pending) replies(f flush, codec Codec) []gateway.RelayedReply {
-	out := make([]gateway.RelayedReply, 0, len(f.Parts))
+func (p *pending) replies(f flush, codec Codec) []gateway.BatchReply {
+	out := make([]gateway.BatchReply, 0, len(f.Parts))
 	body := f.Body
 	for _, part := range f.Parts {
 		if int(part.Leaf) >= len(p.open) || !p.open[part.Leaf] || part.Outcome > uint8(replica.PeerRefused) {
@@ -260,7 +260,7 @@
 		}
 		p.open[part.Leaf] = false
 		p.left--
-		r := gateway.RelayedReply{
+		r := gateway.BatchReply{
 			Call: int(part.Leaf), Took: time.Duration(part.TookUs) * time.Microsecond,
 			Reply: gateway.LeafReply{Outcome: replica.Outcome(part.Outcome), Status: int(part.Status)},
 		}
--- /dev/null
+++ b/pkg/peers/feeder.go
@@ -0,0 +1,224 @@
+package peers
+
+import (
+	"bytes"
+	"compress/flate"
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/indigoyoke/indigoyoke/pkg/feed"
+)
+
+// Store is what an instance knows of the platform's store.
+type Store interface {
+	// Since is what has changed after a revision, and Known whether there is anything.
+	Since(revision int64) feed.Page
+	Known() bool
+	Revision() int64
+	// ProvenAt is when the store last answered, this instance or one that feeds it.
+	ProvenAt() time.Time
+	Proven(at time.Time)
+	// AnsweredAt is when it last answered this instance itself.
+	AnsweredAt() time.Time
+	// TakeFed takes over what another instance has sent.
+	TakeFed(p feed.Page) error
+	// Contradicted takes over what revision the store had when it answered another
+	// instance at a time, and reports whether what was known has been dropped for it.
+	Contradicted(revision int64, at time.Time) bool
+	// SetReading says whether this instance is to read the store itself.
+	SetReading(reading bool)
+}
+
+// listen asks a peer for what the store publishes after a revision.
+type listen struct {
+	_     struct{} `cbor:",toarray"`
+	After int64
+	// Stop: no more is wanted.
+	Stop bool
+}
+
+// news says how far the peer's knowledge of the store reaches.
+type news struct {
+	_        struct{} `cbor:",toarray"`
+	Revision int64
+	// AgeMs is how long ago the store last answered the peer or one that feeds it, and
+	// OwnAgeMs the peer itself; unproven if it has not.
+	AgeMs, OwnAgeMs uint32
+	// Isolated: the peer is cut off from leafs so that its callers are better served by
+	// another zone.
+	Isolated bool
+}
+
+// age is how long ago a time was, for news.
+func age(at time.Time) uint32 {
+	if at.IsZero() {
+		return unproven
+	}
+	return uint32(min(max(time.Since(at).Milliseconds(), 0), unproven-1))
+}
+
+// ago is the inverse of age.
+func ago(ms uint32, now time.Time) time.Time {
+	if ms == unproven {
+		return time.Time{}
+	}
+	return now.Add(-time.Duration(ms) * time.Millisecond)
+}
+
+// unproven stands for "never".
+const unproven = 1<<32 - 1
+
+// newsEvery is how often a peer says how far it is: three in a second, so that one that has
+// fallen silent is noticed in about a second.
+const newsEvery = 300 * time.Millisecond
+
+// newsMissed is how long one that is listened to may say nothing.
+const newsMissed = time.Second
+
+// pageMost bounds a page when it is unpacked, in bytes: 20 configurations of the largest
+// size that the store takes.
+const pageMost = 20 << 20
+
+// feeder is the part of a server that feeds others.
+type feeder struct {
+	store    Store
+	isolated func() bool
+
+	mu    sync.Mutex
+	wakes map[*serverConn]chan struct{}
+	// packed is the last page that was packed: many listeners are equally far.
+	packed               []byte
+	packedFrom, packedTo int64
+	packedFull           bool
+}
+
+// Feed lets the server feed its peers, and tell them whether this instance is isolated. It is
+// called before Run.
+func (s *Server) Feed(store Store, isolated func() bool) {
+	s.feeder = &feeder{store: store, isolated: isolated, wakes: make(map[*serverConn]chan struct{})}
+}
+
+// Changed tells those that are fed that there is something new.
+func (s *Server) Changed() {
+	if s.feeder == nil {
+		return
+	}
+	s.feeder.mu.Lock()
+	defer s.feeder.mu.Unlock()
+	for _, wake := range s.feeder.wakes {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// listen starts or stops feeding the peer.
+func (c *serverConn) listen(l listen) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.stopFeeding != nil {
+		c.stopFeeding()
+		c.stopFeeding = nil
+	}
+	if l.Stop || c.s.feeder == nil {
+		return
+	}
+	ctx, stop := context.WithCancel(c.ctx)
+	c.stopFeeding = stop
+	go c.s.feeder.run(ctx, c, l.After)
+}
+
+// run feeds one peer until ctx ends.
+func (f *feeder) run(ctx context.Context, c *serverConn, sent int64) {
+	wake := make(chan struct{}, 1)
+	f.mu.Lock()
+	f.wakes[c] = wake
+	f.mu.Unlock()
+	defer func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if f.wakes[c] == wake {
+			delete(f.wakes, c)
+		}
+	}()
+	ticker := time.NewTicker(newsEvery)
+	defer ticker.Stop()
+	for {
+		next, err := f.send(c, sent)
+		if err != nil {
+			return // The connection has ended.
+		}
+		sent = next
+		select {
+		case <-wake:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// send sends what has changed after a revision and how far this instance is. It returns the
+// revision up to which the peer has been told.
+func (f *feeder) send(c *serverConn, sent int64) (int64, error) {
+	revision := f.store.Revision()
+	if f.store.Known() && revision > sent {
+		page := f.store.Since(sent)
+		raw, err := f.pack(page)
+		if err != nil {
+			return sent, err
+		}
+		if err := c.write(kindPage, raw); err != nil {
+			return sent, err
+		}
+		sent = page.To
+	}
+	// The times first: the revision is then at least that of the answers.
+	n := news{AgeMs: age(f.store.ProvenAt()), OwnAgeMs: age(f.store.AnsweredAt())}
+	n.Revision = f.store.Revision()
+	n.Isolated = f.isolated()
+	return sent, c.write(kindNews, n)
+}
+
+// pack encodes and compresses a page. Entries are texts that resemble each other: a
+// configuration of 36 KB takes 6.
+func (f *feeder) pack(p feed.Page) ([]byte, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.packed != nil && f.packedFrom == p.From && f.packedTo == p.To && f.packedFull == p.Full && p.ReturnedMs == 0 {
+		return f.packed, nil
+	}
+	raw, err := cbor.Marshal(p)
+	if err != nil {
+		return nil, err
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, err
+	}
+	if _, err := w.Write(raw); err != nil {
+		return nil, err
+	}
+	if err := w.Close(); err != nil {
+		return nil, err
+	}
+	f.packed, f.packedFrom, f.packedTo, f.packedFull = out.Bytes(), p.From, p.To, p.Full
+	return f.packed, nil
+}
+
+// unpack is the inverse of pack.
+func unpack(raw []byte) (feed.Page, error) {
+	var p feed.Page
+	r := flate.NewReader(bytes.NewReader(raw))
+	all, err := io.ReadAll(io.LimitReader(r, pageMost))
+	if err != nil {
+		return p, err
+	}
+	return p, cbor.Unmarshal(all, &p)
+}
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -132,9 +132,9 @@
 }
 
 // sink collects groups of replies.
-type sink chan []gateway.RelayedReply
+type sink chan []gateway.BatchReply
 
-func (s sink) take(r []gateway.RelayedReply) { s <- r }
+func (s sink) take(r []gateway.BatchReply) { s <- r }
 
 func TestBatchIsSentAndMerged(t *testing.T) {
 	b := newBench(t, func(_ context.Context, call gateway.LeafCall) gateway.LeafReply { return answered(call) })
--- a/pkg/peers/queries_test.go
+++ b/pkg/peers/queries_test.go
@@ -291,20 +291,20 @@
 	before := drawAll(all)
 	used := map[string]int{}
 	for _, r := range before {
-		if relays := r.relays["y"]; len(relays) > 0 {
-			require.Len(t, relays, relaysKept)
-			used[relays[0].Name]++
+		if batchers := r.batchers["y"]; len(batchers) > 0 {
+			require.Len(t, batchers, batchersKept)
+			used[batchers[0].Name]++
 		}
 	}
 	require.Greater(t, len(used), 1)
 	gone := 1
 	all[gone].Status = membership.Dead
 	for name, r := range drawAll(all) {
-		for zone, relays := range r.relays {
-			was := before[name].relays[zone]
-			require.NotContains(t, relays, all[gone])
+		for zone, batchers := range r.batchers {
+			was := before[name].batchers[zone]
+			require.NotContains(t, batchers, all[gone])
 			if len(was) > 0 && was[0].Name != all[gone].Name {
-				require.Equal(t, was[0].Name, relays[0].Name)
+				require.Equal(t, was[0].Name, batchers[0].Name)
 			}
 		}
 	}
--- a/pkg/peers/roles.go
+++ b/pkg/peers/roles.go
@@ -16,8 +16,8 @@
 	// gatherers run this instance's queries, the preferred one first; none where it is
 	// one of them.
 	gatherers []membership.Member
-	// relays are, for each other zone, the peers that send requests to leafs there.
-	relays map[string][]membership.Member
+	// batchers are, for each other zone, the peers that send requests to leafs there.
+	batchers map[string][]membership.Member
 	// ahead and behind are the members of the zone that come before and after this instance
 	// in the order in which they read the store.
 	ahead, behind []membership.Member
@@ -29,9 +29,9 @@
 }
 
 const (
-	// relaysKept is how many relays of a zone are kept connected: the one in use, and
+	// batchersKept is how many batchers of a zone are kept connected: the one in use, and
 	// one more for when it fails.
-	relaysKept = 2
+	batchersKept = 2
 	// gathererShare is the part of a zone's room that its gatherers have together. The
 	// fewer they are, the more each learns of leafs from the queries that it runs.
 	// Queries use a tenth of a fleet's processors at most in the loads that were seen.
@@ -48,7 +48,7 @@
 			zones[m.Zone] = append(zones[m.Zone], m)
 		}
 	}
-	r := roles{relays: make(map[string][]membership.Member)}
+	r := roles{batchers: make(map[string][]membership.Member)}
 	for zone, in := range zones {
 		r.others += len(in)
 		if zone == self.Zone {
@@ -56,7 +56,7 @@
 		}
 		fit := slices.DeleteFunc(in, avoided)
 		preferred(fit, self.Name)
-		r.relays[zone] = fit[:min(len(fit), relaysKept)]
+		r.batchers[zone] = fit[:min(len(fit), batchersKept)]
 	}
 	order := byRoom(self, zones[self.Zone])
 	at := slices.IndexFunc(order, func(m membership.Member) bool { return m.Name == self.Name })
@@ -114,7 +114,7 @@
 			out = append(out, m)
 		}
 	}
-	for _, members := range r.relays {
+	for _, members := range r.batchers {
 		out = append(out, members...)
 	}
 	return out
--- a/pkg/peers/server.go
+++ b/pkg/peers/server.go
@@ -77,7 +77,7 @@
 		}
 		if err != nil {
 			// Descriptors may be used up for the moment; ending would leave this
-			// zone without a relay for good.
+			// zone without a peer for good.
 			s.log.Decision("peer_accept_failed", oplog.Fields{"error": err.Error()})
 			time.Sleep(acceptPause)
 			continue
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -98,8 +98,8 @@
 	// Seeds are addresses of some instances, which may be stale. Only the hosts
 	// count.
 	Seeds []string `yaml:"seeds"`
-	// Relay sends queries' requests to other zones through peers there.
-	Relay bool `yaml:"relay"`
+	// Batches sends queries' requests to other zones through peers there.
+	Batches bool `yaml:"batches"`
 	// Gather lets a few instances of each zone run the queries of all.
 	Gather bool `yaml:"gather"`
 	// Feed lets a few instances of each zone read the store for all.
@@ -230,7 +230,7 @@
 			MaxReplyBytes: 4 << 20,
 		},
 		Peers: NodePeers{
-			Relay: true, Gather: true, Feed: true,
+			Batches: true, Gather: true, Feed: true,
 			// A join and its answer, a connection and a page of the store's entries
 			// take about 60 ms; callers of instances that start together wait too.
 			StartWaitMs: 150,
