How long a peer is silent is counted by the steady clock

Cause, found by reading: the time of a connection's last frame was kept as Unix time; a jump of the time of day would have ended connections to instances that run queries, and their queries. Change: it is kept with its steady reading.

--- a/pkg/peers/ask.go
+++ b/pkg/peers/ask.go
@@ -257,7 +257,7 @@
 		w.c.drop(w.number)
 		return gateway.Answer{Code: errcode.RequestTimeout}, true, true
 	}
-	silent := now.Sub(time.Unix(0, w.c.heard.Load()))
+	silent := w.c.silentFor(now)
 	if silent >= beatsMissed {
 		w.c.end(errPeerBeats)
 		return w.lost(), true, true
@@ -268,6 +268,15 @@
 	return a, false, false
 }
 
+// silentFor is how long nothing has come on the connection.
+func (c *clientConn) silentFor(now time.Time) time.Duration {
+	at := c.heard.Load()
+	if at == nil {
+		return 0
+	}
+	return now.Sub(*at)
+}
+
 // lost is the answer to a query whose peer is gone.
 func (w *queryWait) lost() gateway.Answer {
 	req := w.query.Request
--- a/pkg/peers/conn.go
+++ b/pkg/peers/conn.go
@@ -35,8 +35,9 @@
 	pending map[uint64]*pending
 	asked   map[uint64]*asked
 	closed  bool
-	// heard is when the last frame came, in nanoseconds of Unix time.
-	heard atomic.Int64
+	// heard is when the last frame came. A pointer to a time keeps its steady clock, which no
+	// change of the time of day moves.
+	heard atomic.Pointer[time.Time]
 	// hop is how long queries are on their way.
 	hop hop
 	// way is the smoothed time that a batch takes beyond what the peer accounts for.
@@ -200,7 +201,8 @@
 	if err != nil {
 		return err
 	}
-	c.heard.Store(time.Now().UnixNano())
+	now := time.Now()
+	c.heard.Store(&now)
 	switch k {
 	case kindFlush:
 		f, err := decode[flush](raw)
--- a/pkg/peers/queries_test.go
+++ b/pkg/peers/queries_test.go
@@ -198,6 +198,19 @@
 	return b.dial(ln.Addr().String())
 }
 
+// Symptom: queries are given up although their peer is well. Sequence: the time of day jumps
+// forward while they run. Cause: how long the peer has been silent was counted by it.
+func TestSilenceIsCountedByTheSteadyClock(t *testing.T) {
+	b := newAskBench(t, func(_ context.Context, _ *gateway.Request, _ int64, taken func()) (gateway.Answer, bool) {
+		taken()
+		return half(), true
+	})
+	_, ok := b.agent.Ask(t.Context(), gatherQuery())
+	require.True(t, ok)
+	require.Contains(t, b.conn.heard.Load().String(), " m=+", "it has a steady reading")
+	require.Less(t, b.conn.silentFor(time.Now()), time.Minute)
+}
+
 // A peer at work on a slow query says that it is well, and is waited for.
 func TestSlowQueryIsWaitedFor(t *testing.T) {
 	b := newAskBench(t, func(_ context.Context, _ *gateway.Request, _ int64, taken func()) (gateway.Answer, bool) {
