--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -167,15 +167,10 @@
 	return out
 }
 
-// UsableIn lists the members of a zone that work may be given to, in no order.
+// UsableIn lists the members of a zone that work may be given to, by name: what is drawn from
+// them is the same each time that a schedule is replayed.
 func (s *State) UsableIn(zone string) []Member {
-	var out []Member
-	for _, m := range s.members {
-		if m.Zone == zone && m.Usable() {
-			out = append(out, m.Member)
-		}
-	}
-	return out
+	return slices.DeleteFunc(s.Members(), func(m Member) bool { return m.Zone != zone || !m.Usable() })
 }
 
 // Self is this instance as it describes itself.
