Read once more: a check that stood twice, one that was implied, one function for one question

fanout.atMost checked n < 0 twice; gateway.handedOn asked for OK beside NotRun, which no OK is; discovery had Known and known. Behaviour as before.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -180,7 +180,7 @@
 
 // step makes the next call or listing and returns how long to pause.
 func (f *Follower) step(ctx context.Context) time.Duration {
-	if !f.known() {
+	if !f.Known() {
 		if err := f.list(ctx); err != nil {
 			return f.failed(ctx, "list", err)
 		}
--- a/pkg/discovery/fed.go
+++ b/pkg/discovery/fed.go
@@ -24,9 +24,7 @@
 }
 
 // Known reports whether this instance has all that is published, from any source.
-func (f *Follower) Known() bool { return f.known() }
-
-func (f *Follower) known() bool {
+func (f *Follower) Known() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.book.Known()
--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -215,9 +215,6 @@
 // mean are expected (Poisson). A bound on the expected number alone would be far
 // stricter for routes that may miss many shards than for those that may miss none.
 func atMost(n int, mean float64) float64 {
-	if n < 0 {
-		return 0
-	}
 	if n < 0 {
 		return 0
 	}
--- a/pkg/gateway/gatherers.go
+++ b/pkg/gateway/gatherers.go
@@ -53,16 +53,15 @@
 
 // handedOn records what came of a query that another instance ran.
 func (g *Gateway) handedOn(req *Request, route *routing.Route, a Answer) {
-	if a.Code == errcode.CallerLeft {
+	switch {
+	case a.Code == errcode.OK:
+		return
+	case a.Code == errcode.CallerLeft:
 		g.callerLeft(req, route)
 		return
-	}
-	if a.Code.NotRun() && a.Code != errcode.OK {
+	case a.Code.NotRun():
 		g.stats.refused(a.Code)
 	}
-	if a.Code == errcode.OK {
-		return
-	}
 	g.log.Decision("query_ended_elsewhere", oplog.Fields{
 		"request": req.ID, "route": route.Name, "code": a.Code.String(), "reason": a.Code.Name(),
 		"after_ms": time.Since(req.Arrived).Milliseconds(), "config_version": g.version(),
