Sight: lines name what a request asks, and whether a leaf ended with it

No decision changes.

Lines show it as content, at the gatherer too; explain tells what other requests with the same content met.

Ruled out as a sign: the end of the connection alone (limits, resets and cut answers end connections of leafs that are well).

--- a/pkg/entry/handlers.go
+++ b/pkg/entry/handlers.go
@@ -11,6 +11,7 @@
 
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/gateway"
+	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
@@ -51,11 +52,16 @@
 	message.Snapshot = cl.index.Snapshot
 	message.FromZone = e.set.Zone
 	return e.gateway.Serve(ctx, &gateway.Request{
-		ID: cl.id, Arrived: cl.arrived, Patience: cl.timeout,
+		ID: cl.id, Key: contentKey(cl.name, &message), Arrived: cl.arrived, Patience: cl.timeout,
 		Content: &leafWork{message: message, plan: cl.plan},
 	}, route)
 }
 
+// contentKey names what a request asks of the leafs of an index.
+func contentKey(index string, m *wire.LeafRequest) quarantine.Key {
+	return quarantine.KeyOf(index, string(m.Kind), m.Text, strconv.Itoa(m.Limit), m.Item, m.IdempotencyKey)
+}
+
 // overloaded answers a call that was one too many in flight.
 func (e *Entry) overloaded(cl *call) wire.Answer {
 	e.stats.shed.Inc()
--- a/pkg/entry/leafs.go
+++ b/pkg/entry/leafs.go
@@ -12,6 +12,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/gateway"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
+	"github.com/indigoyoke/indigoyoke/pkg/sock"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
@@ -92,6 +93,8 @@
 		return replica.Abandoned
 	case !time.Now().Before(call.Deadline):
 		return replica.TimedOut
+	case sock.Refuses(ctx, call.Leaf.Addr, sock.RefusedWithin):
+		return replica.Ended
 	}
 	return replica.Broken
 }
--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -1,6 +1,7 @@
 // Package explain tells the story of one request from the logs of entry
-// instances: the decisions that name the request, in order, and the changes of
-// belief shortly before that bear on its leafs.
+// instances: the decisions that name the request, in order, the changes of
+// belief shortly before that bear on its leafs, and what other requests with the same
+// content met.
 package explain
 
 import (
@@ -39,7 +40,7 @@
 		return 0, err
 	}
 	var own []line
-	instances, leafs := map[string]bool{}, map[string]bool{}
+	instances, leafs, contents := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, l := range lines {
 		if l.text("request") != id {
 			continue
@@ -47,6 +48,7 @@
 		own = append(own, l)
 		instances[l.text("instance")] = true
 		leafs[l.text("leaf")] = true
+		contents[l.text("content")] = true
 		if tried, ok := l.fields["leafs"].([]any); ok {
 			for _, leaf := range tried {
 				leafs[fmt.Sprint(leaf)] = true
@@ -62,6 +64,10 @@
 			tell(w, l, "")
 			continue
 		}
+		if content := l.text("content"); content != "" && contents[content] {
+			tell(w, l, "  (same content) ")
+			continue
+		}
 		near := !l.at.Before(first.Add(-contextBefore)) && !l.at.After(last)
 		if near && instances[l.text("instance")] && l.bearsOn(leafs) {
 			tell(w, l, "  (before) ")
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -39,3 +39,16 @@
 	require.NoError(t, err)
 	require.Zero(t, n)
 }
+
+// A request that comes again has another ID: what its content met before is told too.
+func TestStoryNamesTheSameContent(t *testing.T) {
+	log := `{"time":"2026-05-04T15:39:20.000Z","event":"leaf_ended","instance":"b","request":"r0","content":"c1","leaf":"i-1"}
+{"time":"2026-05-04T15:39:29.100Z","event":"leaf_ended","instance":"a","request":"r1","content":"c1","leaf":"i-2"}
+{"time":"2026-05-04T15:39:29.200Z","event":"leaf_ended","instance":"a","request":"r2","content":"c2","leaf":"i-2"}
+`
+	var out bytes.Buffer
+	n, err := Request("r1", []io.Reader{strings.NewReader(log)}, &out)
+	require.NoError(t, err)
+	require.Equal(t, 1, n)
+	require.Equal(t, "  (same content) 15:39:20.000 b leaf_ended content=c1 leaf=i-1\n15:39:29.100 a leaf_ended content=c1 leaf=i-2\n", out.String())
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/fanout"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
@@ -28,6 +29,8 @@
 type Request struct {
 	// ID names the caller's attempt; "" when the caller sent none.
 	ID string
+	// Key names what the request asks, which its attempts have in common; zero: unknown.
+	Key quarantine.Key
 	// Host and Path find the published route; the path is undecoded and
 	// without the query. A door that chooses the route itself sets neither.
 	Host string
@@ -54,6 +57,16 @@
 	return r.Arrived.Add(-min(r.OnTheWay, target/onTheWayPart))
 }
 
+// about completes the fields of a log line about the request.
+func (r *Request) about(route string, f oplog.Fields) oplog.Fields {
+	f["request"] = r.ID
+	f["route"] = route
+	if content := r.Key.String(); content != "" {
+		f["content"] = content
+	}
+	return f
+}
+
 // LeafCall is one request to one leaf.
 type LeafCall struct {
 	Leaf replica.Leaf
@@ -262,19 +275,17 @@
 		name = route.Name
 	}
 	g.stats.refused(code)
-	g.log.Decision("request_refused", oplog.Fields{
-		"request": req.ID, "route": name, "code": code.String(), "reason": code.Name(),
+	g.log.Decision("request_refused", req.about(name, oplog.Fields{
+		"code": code.String(), "reason": code.Name(),
 		"retry_after_ms": retryAfter.Milliseconds(), "config_version": g.version(), "in_flight": g.inFlight.Load(),
-	})
+	}))
 	return Answer{Code: code, RetryAfter: retryAfter}
 }
 
 // callerLeft ends a request whose caller has closed its connection.
 func (g *Gateway) callerLeft(req *Request, route *routing.Route) Answer {
 	g.stats.left()
-	g.log.Decision("caller_left", oplog.Fields{
-		"request": req.ID, "route": route.Name, "after_ms": time.Since(req.Arrived).Milliseconds(),
-	})
+	g.log.Decision("caller_left", req.about(route.Name, oplog.Fields{"after_ms": time.Since(req.Arrived).Milliseconds()}))
 	return Answer{Code: errcode.CallerLeft}
 }
 
@@ -282,10 +293,9 @@
 func (g *Gateway) noteSecond(route *routing.Route, call LeafCall, why string) {
 	req := call.Request
 	g.stats.second(why)
-	g.log.Decision("second_request", oplog.Fields{
-		"request": req.ID, "route": route.Name, "service": call.Service, "leaf": call.Leaf.ID,
-		"why": why, "after_ms": time.Since(req.Arrived).Milliseconds(),
-	})
+	g.log.Decision("second_request", req.about(route.Name, oplog.Fields{
+		"service": call.Service, "leaf": call.Leaf.ID, "why": why, "after_ms": time.Since(req.Arrived).Milliseconds(),
+	}))
 }
 
 // version is the version of the configuration in force, 0 without one.
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -67,7 +67,7 @@
 		run.losers = make([]context.CancelFunc, len(route.Shards))
 	}
 	if query.Held(time.Now()) > 0 {
-		g.log.Decision("query_held", oplog.Fields{"request": req.ID, "route": route.Name, "config_version": g.version()})
+		g.log.Decision("query_held", req.about(route.Name, oplog.Fields{"config_version": g.version()}))
 	}
 	run.send(sends)
 	return run.wait()
@@ -80,12 +80,12 @@
 		code = errcode.ShardsOverloaded
 	}
 	g.stats.refused(code)
-	g.log.Decision("query_refused", oplog.Fields{
-		"request": req.ID, "route": route.Name, "code": code.String(), "reason": code.Name(),
+	g.log.Decision("query_refused", req.about(route.Name, oplog.Fields{
+		"code": code.String(), "reason": code.Name(),
 		"shards": len(route.Shards), "shards_unreachable": r.Unreachable, "shards_late": r.Late, "shards_busy": r.Busy,
 		"risk": r.Risk, "may_miss": r.Spare, "chance": r.Chance,
 		"retry_after_ms": r.RetryAfter.Milliseconds(), "config_version": g.version(),
-	})
+	}))
 	return Answer{Code: code, RetryAfter: r.RetryAfter}
 }
 
@@ -93,10 +93,10 @@
 func (g *Gateway) refuseHeld(req *Request, route *routing.Route, held time.Duration) Answer {
 	code := errcode.ShardsOverloaded
 	g.stats.refused(code)
-	g.log.Decision("query_refused", oplog.Fields{
-		"request": req.ID, "route": route.Name, "code": code.String(), "reason": code.Name(), "held_ms": held.Milliseconds(),
+	g.log.Decision("query_refused", req.about(route.Name, oplog.Fields{
+		"code": code.String(), "reason": code.Name(), "held_ms": held.Milliseconds(),
 		"retry_after_ms": fanout.RetryLate.Milliseconds(), "config_version": g.version(),
-	})
+	}))
 	return Answer{Code: code, RetryAfter: fanout.RetryLate}
 }
 
@@ -150,10 +150,14 @@
 	turn := g.table.EndAfter(entry, reply.Outcome, took, now)
 	g.stats.leaf(reply.Outcome, took)
 	if reply.Outcome != replica.Answered && reply.Outcome != replica.Abandoned {
-		g.log.Decision("leaf_call_failed", oplog.Fields{
-			"request": call.Request.ID, "leaf": call.Leaf.ID, "service": call.Service, "leaf_zone": call.Leaf.Zone,
+		event := "leaf_call_failed"
+		if reply.Outcome == replica.Ended {
+			event = "leaf_ended" // A budget of lines of its own: rare, and of weight.
+		}
+		g.log.Decision(event, call.Request.about(entry.Class(), oplog.Fields{
+			"leaf": call.Leaf.ID, "service": call.Service, "leaf_zone": call.Leaf.Zone,
 			"outcome": reply.Outcome.String(), "status": reply.Status, "took_ms": took.Milliseconds(), "error": errText(reply.Err),
-		})
+		}))
 	}
 	switch turn {
 	case replica.WentDown:
@@ -303,9 +307,9 @@
 			left[service] = lack.String()
 		}
 	}
-	r.g.log.Decision(event, oplog.Fields{
-		"request": r.req.ID, "route": r.route.Name, "code": code.String(),
+	r.g.log.Decision(event, r.req.about(r.route.Name, oplog.Fields{
+		"code":    code.String(),
 		"covered": r.query.Covered(), "needed": r.query.Need(), "shards": len(r.route.Shards),
 		"missing": left, "after_ms": time.Since(r.req.Arrived).Milliseconds(), "config_version": r.g.version(),
-	})
+	}))
 }
--- a/pkg/gateway/gatherers.go
+++ b/pkg/gateway/gatherers.go
@@ -62,10 +62,10 @@
 	case a.Code.NotRun():
 		g.stats.refused(a.Code)
 	}
-	g.log.Decision("query_ended_elsewhere", oplog.Fields{
-		"request": req.ID, "route": route.Name, "code": a.Code.String(), "reason": a.Code.Name(),
+	g.log.Decision("query_ended_elsewhere", req.about(route.Name, oplog.Fields{
+		"code": a.Code.String(), "reason": a.Code.Name(),
 		"after_ms": time.Since(req.Arrived).Milliseconds(), "config_version": g.version(),
-	})
+	}))
 }
 
 // Gather runs a query for another instance of the zone. It calls taken before anything is
--- a/pkg/gateway/single.go
+++ b/pkg/gateway/single.go
@@ -174,10 +174,10 @@
 	if r.route.Kind == routing.Repeatable && code == errcode.OutcomeUnknown {
 		code = errcode.LeafFailed
 	}
-	r.g.log.Decision("request_failed", oplog.Fields{
-		"request": r.req.ID, "route": r.route.Name, "kind": r.route.Kind.String(), "service": r.service, "leafs": r.tried,
+	r.g.log.Decision("request_failed", r.req.about(r.route.Name, oplog.Fields{
+		"kind": r.route.Kind.String(), "service": r.service, "leafs": r.tried,
 		"code": code.String(), "reason": code.Name(), "last_outcome": r.last.Outcome.String(),
 		"after_ms": time.Since(r.req.Arrived).Milliseconds(), "config_version": r.g.version(),
-	})
+	}))
 	return Answer{Code: code}
 }
--- a/pkg/leafconn/leafconn_test.go
+++ b/pkg/leafconn/leafconn_test.go
@@ -261,3 +261,27 @@
 		require.Zero(t, got, header)
 	}
 }
+
+// A leaf whose process ends with a request in hand is told from one that only closes the
+// connection: nothing listens at its address any more.
+func TestEndedLeafIsToldFromAClosedConnection(t *testing.T) {
+	for _, ends := range []bool{true, false} {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = ln.Close() })
+		go func() {
+			conn, err := ln.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			if ends {
+				_ = ln.Close()
+			}
+			_ = conn.Close()
+		}()
+		_, fate, err := send(pool(), ln.Addr().String(), time.Minute)
+		require.Error(t, err)
+		require.Equal(t, ends, fate == LeafEnded, "fate %d", fate)
+	}
+}
--- a/pkg/leafconn/roundtrip.go
+++ b/pkg/leafconn/roundtrip.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+	"github.com/indigoyoke/indigoyoke/pkg/sock"
 )
 
 // Fate is what is certain about a request that brought no reply.
@@ -33,6 +34,9 @@
 	Unanswered
 	// Cancelled: given up by the caller's context.
 	Cancelled
+	// LeafEnded: the request was sent, the connection ended, and nothing listens at the
+	// leaf's address any more: its process ended while it had the request.
+	LeafEnded
 )
 
 // Reply is a whole reply. Close-delimited bodies that ended with a reset are
@@ -66,6 +70,9 @@
 			// idle ones are suspected with it, at the price of new ones.
 			p.DropLeaf(leaf)
 		}
+		if (fate == Lost || fate == LostNew) && ended(err) && sock.Refuses(ctx, addr, sock.RefusedWithin) {
+			fate = LeafEnded
+		}
 		return nil, fate, err
 	}
 	return reply, Replied, nil
--- a/pkg/oplog/levels.go
+++ b/pkg/oplog/levels.go
@@ -26,6 +26,7 @@
 	"zone_lost":                 logrus.WarnLevel,
 	"isolated":                  logrus.WarnLevel,
 	"leaf_down":                 logrus.WarnLevel,
+	"leaf_ended":                logrus.WarnLevel,
 	"leaf_keep_alive_malformed": logrus.WarnLevel,
 	"deadline_malformed":        logrus.WarnLevel,
 	"member_suspect":            logrus.WarnLevel,
--- a/pkg/peers/ask.go
+++ b/pkg/peers/ask.go
@@ -281,7 +281,7 @@
 func (w *queryWait) lost() gateway.Answer {
 	req := w.query.Request
 	w.p.log.Decision("gatherer_lost", oplog.Fields{
-		"request": req.ID, "route": w.query.Route.Name, "peer": w.c.peer.Name, "code": errcode.PeerLost.String(),
+		"request": req.ID, "content": req.Key.String(), "route": w.query.Route.Name, "peer": w.c.peer.Name, "code": errcode.PeerLost.String(),
 		"after_ms": time.Since(req.Arrived).Milliseconds(),
 	})
 	return gateway.Answer{Code: errcode.PeerLost}
--- a/pkg/peers/batches.go
+++ b/pkg/peers/batches.go
@@ -40,9 +40,10 @@
 	if err != nil {
 		return nil, err
 	}
+	content := c.s.codec.Content(request)
 	w := &work{
 		c: c, b: b, arrived: now, deadline: now.Add(time.Duration(b.LeftMs) * time.Millisecond), leafs: leafs,
-		req:     &gateway.Request{ID: b.Request.ID, Content: c.s.codec.Content(request), Arrived: now},
+		req:     &gateway.Request{ID: b.Request.ID, Key: c.s.codec.Key(content), Content: content, Arrived: now},
 		replies: make(chan done, len(leafs)),
 	}
 	w.ctx, w.end = c.begin(b.Number)
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -20,6 +20,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/membership"
 	"github.com/indigoyoke/indigoyoke/pkg/mutate"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
@@ -35,6 +36,10 @@
 
 func (textCodec) Request(c gateway.Content) Request { return c.(Request) }
 func (textCodec) Content(r Request) gateway.Content { return r }
+func (textCodec) Key(c gateway.Content) quarantine.Key {
+	r := c.(Request)
+	return quarantine.KeyOf(r.Method, r.Host, r.Target, string(r.Body))
+}
 func (textCodec) Part(r gateway.LeafReply) (string, []byte) {
 	t := r.Content.(textReply)
 	return t.proof, t.body
--- a/pkg/peers/queries.go
+++ b/pkg/peers/queries.go
@@ -70,8 +70,9 @@
 	}
 	now := time.Now()
 	path, _, _ := strings.Cut(request.Target, "?")
+	content := c.s.codec.Content(request)
 	req := &gateway.Request{
-		ID: q.Request.ID, Host: request.Host, Path: path, Content: c.s.codec.Content(request),
+		ID: q.Request.ID, Key: c.s.codec.Key(content), Host: request.Host, Path: path, Content: content,
 		Arrived: now.Add(-micros(q.AgeUs)), OnTheWay: micros(q.WayUs), Patience: micros(q.PatienceUs),
 	}
 	ctx, end := c.begin(q.Number)
--- a/pkg/peers/server.go
+++ b/pkg/peers/server.go
@@ -14,6 +14,7 @@
 
 	"github.com/indigoyoke/indigoyoke/pkg/gateway"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 )
 
@@ -22,6 +23,8 @@
 	// Request is what a caller's message asks of leafs, and Content its inverse.
 	Request(content gateway.Content) Request
 	Content(r Request) gateway.Content
+	// Key names what a caller's message asks.
+	Key(content gateway.Content) quarantine.Key
 	// Part takes a leaf's success apart, and Reply puts one together.
 	Part(reply gateway.LeafReply) (proof string, body []byte)
 	Reply(proof string, body []byte) gateway.Content
--- a/pkg/replica/calls.go
+++ b/pkg/replica/calls.go
@@ -34,13 +34,19 @@
 	// PeerRefused: the peer did not send the request; not run, and nothing is known
 	// of the leaf.
 	PeerRefused
+	// Ended: the leaf's process ended while it had the request, which may have run; a
+	// request may also be the cause.
+	Ended
 )
 
 // String names the outcome in logs and metrics.
 func (o Outcome) String() string {
-	return [...]string{"answered", "failed", "refused", "misdirected", "not_sent", "broken", "timed_out", "crowded", "abandoned", "peer_lost", "peer_refused"}[o]
+	return [...]string{"answered", "failed", "refused", "misdirected", "not_sent", "broken", "timed_out", "crowded", "abandoned", "peer_lost", "peer_refused", "ended"}[o]
 }
 
+// Known reports whether the outcome is one of the above.
+func (o Outcome) Known() bool { return o >= Answered && o <= Ended }
+
 // NotRun reports whether the outcome is certain proof that the request did
 // not run and will not.
 func (o Outcome) NotRun() bool {
@@ -57,6 +63,9 @@
 	start time.Time
 }
 
+// Class is the class of work that the request belongs to.
+func (c *Call) Class() string { return c.class }
+
 // Begin counts a request as in flight at the placed leaf. It returns nil when
 // other requests have taken the last of the leaf's connections since it was
 // placed.
@@ -134,7 +143,7 @@
 	case NotSent:
 		r.unreached = true
 		r.fail(now)
-	case Broken:
+	case Broken, Ended:
 		r.unreached = false
 		r.learnRefusal(true, now)
 		r.fail(now)
