--- a/pkg/demo/cluster.go
+++ b/pkg/demo/cluster.go
@@ -103,6 +103,25 @@
 	return nil
 }
 
+// RestartBackend starts a backend server that has ended again, at its address.
+func (c *Cluster) RestartBackend(name string) error {
+	ended := c.Backends[name]
+	for i := range c.Layout.Backends {
+		if c.Layout.Backends[i].Name != name {
+			continue
+		}
+		s := c.Layout.Backends[i]
+		s.Listen = ended.Addr()
+		b, err := backend.New(&s, logger(c.logs, "backend", s.Name, s.Zone), c.Platform.Report)
+		if err != nil {
+			return err
+		}
+		c.Backends[name] = b
+		b.Start()
+	}
+	return nil
+}
+
 // ConnectPeers makes every entry instance ask every other one, but those in
 // the cut zones only each other's zone: a partition between zones.
 func (c *Cluster) ConnectPeers(cutZones ...string) {
--- a/pkg/standin/backend/control.go
+++ b/pkg/standin/backend/control.go
@@ -39,9 +39,12 @@
 	// ActLoseReplies runs every request but loses the replies of Percent of
 	// them, as a connection lost on the way back does.
 	ActLoseReplies Action = "lose_replies"
+	// ActEndOn lets the server end, as a crashed process, when it begins to run a request
+	// for Text: a search for it, or a hold of that item.
 	// ActHandOff moves the shard named first in Shards, of index Index, to
 	// the backend server at To with its hold records; that server gets it
 	// by ActAdopt.
+	ActEndOn   Action = "end_on"
 	ActHandOff Action = "hand_off"
 	ActAdopt   Action = "adopt"
 )
@@ -59,6 +62,7 @@
 	Snapshot int64    `json:"snapshot,omitempty"`
 	Zones    []string `json:"zones,omitempty"`
 	To       string   `json:"to,omitempty"`
+	Text     string   `json:"text,omitempty"`
 	// State goes with adopt, from one backend server to another.
 	State *shardState `json:"state,omitempty"`
 }
@@ -74,6 +78,7 @@
 	Crossed    bool     `json:"cross_replies,omitempty"`
 	CutZones   []string `json:"cut_zones,omitempty"`
 	LosePct    int      `json:"lose_percent,omitempty"`
+	EndOn      string   `json:"end_on,omitempty"`
 }
 
 // slows decides whether one request to shard is slowed: stragglers come
@@ -144,6 +149,8 @@
 		b.faults.Crossed = true
 	case ActLoseReplies:
 		b.faults.LosePct = ctl.Percent
+	case ActEndOn:
+		b.faults.EndOn = ctl.Text
 	case ActCut:
 		b.faults.CutZones = ctl.Zones
 	case ActHeal:
@@ -207,8 +214,8 @@
 	b.log.Info("killed")
 	_ = b.ln.Close()
 	b.ln.closeAll()
-	_ = b.srv.H.Close()
 	if b.onKill != nil {
 		b.onKill()
 	}
+	_ = b.srv.H.Close()
 }
--- a/pkg/standin/backend/leaf.go
+++ b/pkg/standin/backend/leaf.go
@@ -74,6 +74,10 @@
 	if err := b.wait(ctx, req.Shard); err != nil {
 		return refusal(b.abandoned(err), b.isDraining())
 	}
+	if b.endsOn(req) {
+		go b.Kill()
+		<-ctx.Done() // The connection is gone by then.
+	}
 	b.executed.Inc()
 	resp := wire.LeafResponse{Code: errcode.OK, Draining: b.isDraining()}
 	if req.Kind == wire.LeafHold {
@@ -114,6 +118,13 @@
 	return b.faults.LosePct > 0 && rand.IntN(100) < b.faults.LosePct
 }
 
+// endsOn reports whether the server ends when it runs req.
+func (b *Server) endsOn(req wire.LeafRequest) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.faults.EndOn != "" && (req.Text == b.faults.EndOn || req.Item == b.faults.EndOn)
+}
+
 func (b *Server) isCutFrom(zone string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
