Sight: queries that two instances may run, and which leafs each asked

A query seen on three leafs of a shard whose route allows two could not be followed over both instances. No decision changes.

- gateway_shards_over_attempts_total: shards asked beyond the route's bound by one query.
- second_request and its counter include requests that go through peers.
- explain puts the lines of all instances together and names shards asked too often.

--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -73,9 +73,41 @@
 			tell(w, l, "  (before) ")
 		}
 	}
+	tellOver(w, own)
 	return len(own), nil
 }
 
+// tellOver writes which shards were sent to more leafs than their route allows, over all
+// instances that ran the request.
+func tellOver(w io.Writer, own []line) {
+	asked := map[string]map[string]string{}
+	allowed := 0.0
+	for _, l := range own {
+		most, _ := l.fields["max_attempts"].(float64)
+		allowed = max(allowed, most)
+		shards, _ := l.fields["asked"].(map[string]any)
+		for shard, leafs := range shards {
+			if asked[shard] == nil {
+				asked[shard] = map[string]string{}
+			}
+			list, _ := leafs.([]any)
+			for _, leaf := range list {
+				asked[shard][fmt.Sprint(leaf)] = l.text("instance")
+			}
+		}
+	}
+	for _, shard := range slices.Sorted(maps.Keys(asked)) {
+		if len(asked[shard]) <= int(allowed) {
+			continue
+		}
+		var by []string
+		for _, leaf := range slices.Sorted(maps.Keys(asked[shard])) {
+			by = append(by, leaf+" by "+asked[shard][leaf])
+		}
+		fmt.Fprintf(w, "shard %s was sent to %d leafs of %d that its route allows: %s\n", shard, len(by), int(allowed), strings.Join(by, ", "))
+	}
+}
+
 // bearsOn reports whether a change of belief may explain the request's fate.
 func (l line) bearsOn(leafs map[string]bool) bool {
 	if l.text("request") != "" {
--- a/pkg/explain/explain_test.go
+++ b/pkg/explain/explain_test.go
@@ -52,3 +52,15 @@
 	require.Equal(t, 1, n)
 	require.Equal(t, "  (same content) 15:39:20.000 b leaf_ended content=c1 leaf=i-1\n15:39:29.100 a leaf_ended content=c1 leaf=i-2\n", out.String())
 }
+
+// A query that two instances ran is told as one: which shards it asked too often, and who did.
+func TestStoryNamesShardsAskedTooOften(t *testing.T) {
+	log := `{"time":"2026-05-04T15:39:29.100Z","event":"query_asked","instance":"a","request":"r1","max_attempts":2,"asked":{"s1":["i-1","i-2"],"s2":["i-5"]}}
+{"time":"2026-05-04T15:39:29.200Z","event":"query_asked","instance":"b","request":"r1","max_attempts":2,"asked":{"s1":["i-3"],"s2":["i-5","i-6"]}}
+`
+	var out bytes.Buffer
+	_, err := Request("r1", []io.Reader{strings.NewReader(log)}, &out)
+	require.NoError(t, err)
+	require.Contains(t, out.String(), "shard s1 was sent to 3 leafs of 2 that its route allows: i-1 by a, i-2 by a, i-3 by b\n")
+	require.NotContains(t, out.String(), "shard s2 was sent")
+}
--- a/pkg/fanout/progress.go
+++ b/pkg/fanout/progress.go
@@ -262,6 +262,20 @@
 	return Running
 }
 
+// Asked lists the leafs that were asked for shard i.
+func (q *Query) Asked(i int) []string { return q.shards[i].tried }
+
+// OverAttempts is how many shards have asked more leafs than the route allows.
+func (q *Query) OverAttempts() int {
+	n := 0
+	for i := range q.shards {
+		if len(q.shards[i].tried) > max(q.route.MaxAttempts, 1) {
+			n++
+		}
+	}
+	return n
+}
+
 // Covered is how many shards are covered, and Need how many must be.
 func (q *Query) Covered() int { return q.covered }
 
--- a/pkg/gateway/batches.go
+++ b/pkg/gateway/batches.go
@@ -87,7 +87,7 @@
 		Flush: time.Duration(flushAtTypical * typical), Step: time.Duration(stepAtTypical * typical),
 	}
 	for _, s := range sends {
-		b.Calls = append(b.Calls, LeafCall{Leaf: s.Call.Leaf, Service: r.route.Shards[s.Shard], Request: r.req, Deadline: s.Deadline})
+		b.Calls = append(b.Calls, r.call(s))
 	}
 	cancel, ok := r.g.batcher.Send(b, func(replies []BatchReply) { r.batchReplied(sends, b.Calls, replies) })
 	if ok {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -42,6 +42,8 @@
 	// OnTheWay is how long the request and its answer spend between the caller
 	// and this instance. The caller's waiting includes it.
 	OnTheWay time.Duration
+	// TakenBack: another instance was asked to run it, and did not take it in time.
+	TakenBack bool
 	// Patience is how long the caller waits; zero: not said.
 	Patience time.Duration
 }
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -130,11 +130,13 @@
 
 // send starts the leaf calls that the query asks for.
 func (r *gathering) send(sends []fanout.Send) {
-	for _, s := range r.throughPeers(sends) {
-		call := LeafCall{Leaf: s.Call.Leaf, Service: r.route.Shards[s.Shard], Request: r.req, Deadline: s.Deadline}
-		if s.Reason != fanout.First {
-			r.g.noteSecond(r.route, call, s.Reason.String())
+	for _, s := range sends {
+		if s.Reason != fanout.First && s.Reason != fanout.Trial {
+			r.g.noteSecond(r.route, r.call(s), s.Reason.String())
 		}
+	}
+	for _, s := range r.throughPeers(sends) {
+		call := r.call(s)
 		ctx := r.callContext(s.Shard)
 		task := func() {
 			reply := r.g.do(ctx, call, s.Call)
@@ -148,6 +150,11 @@
 	}
 }
 
+// call is the leaf call that a send asks for.
+func (r *gathering) call(s fanout.Send) LeafCall {
+	return LeafCall{Leaf: s.Call.Leaf, Service: r.route.Shards[s.Shard], Request: r.req, Deadline: s.Deadline}
+}
+
 // callContext is what a call of a shard runs under.
 func (r *gathering) callContext(shard int) context.Context {
 	if r.losers == nil {
@@ -236,6 +243,8 @@
 			r.send(r.query.Tick(time.Now()))
 		case <-r.caller.Done():
 			r.withdraw()
+			r.g.stats.overAttempts(r.query.OverAttempts())
+			r.logAsked()
 			return r.g.callerLeft(r.req, r.route)
 		}
 	}
@@ -303,6 +312,10 @@
 	if r.query.GivenUp() {
 		r.withdraw()
 	}
+	r.g.stats.overAttempts(r.query.OverAttempts())
+	if r.req.TakenBack {
+		r.logAsked()
+	}
 	a.Shards = lacks(r.query, r.shards)
 	if a.Code == errcode.OK && a.Missing() > 0 {
 		r.logLeftOut("partial_answer", errcode.OK)
@@ -341,6 +354,20 @@
 	return a
 }
 
+// logAsked records which leafs were asked for the query, where that is not told elsewhere: its
+// caller has left, or another instance was to run it or may be running it.
+func (r *gathering) logAsked() {
+	asked := make(map[string][]string)
+	for i, service := range r.route.Shards {
+		if leafs := r.query.Asked(i); len(leafs) > 0 {
+			asked[service] = leafs
+		}
+	}
+	r.g.log.Decision("query_asked", r.req.about(r.route.Name, oplog.Fields{
+		"asked": asked, "max_attempts": r.route.MaxAttempts, "after_ms": time.Since(r.req.Arrived).Milliseconds(),
+	}))
+}
+
 // logLeftOut records which shards an answer lacks, and why.
 func (r *gathering) logLeftOut(event string, code errcode.Code) {
 	left := make(map[string]string)
--- a/pkg/gateway/stats.go
+++ b/pkg/gateway/stats.go
@@ -51,6 +51,12 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`gateway_second_requests_total{why=%q}`, why)).Inc()
 }
 
+func (s *Stats) overAttempts(shards int) {
+	if shards > 0 {
+		s.set.GetOrCreateCounter(`gateway_shards_over_attempts_total`).Add(shards)
+	}
+}
+
 func (s *Stats) left() { s.set.GetOrCreateCounter(`gateway_callers_left_total`).Inc() }
 
 func (s *Stats) leaf(outcome replica.Outcome, took time.Duration) {
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -165,6 +165,7 @@
 	gauge("node_batches_direct", func() float64 { return float64(n.peering.agent.Fallbacks.Load()) })
 	gauge("node_queries_handed", func() float64 { return float64(n.peering.agent.Handed.Load()) })
 	gauge("node_queries_declined", func() float64 { return float64(n.peering.agent.Declined.Load()) })
+	gauge("node_queries_taken_late", func() float64 { return float64(n.peering.agent.TakenLate.Load()) })
 	gauge("node_queries_gathered", func() float64 { return float64(n.peering.server.Gathered.Load()) })
 	gauge("node_peers_silent", func() float64 { return float64(n.peering.agent.Silent.Load()) })
 	gauge("node_batches_served", func() float64 { return float64(n.peering.server.Batches.Load()) })
--- a/pkg/oplog/levels.go
+++ b/pkg/oplog/levels.go
@@ -15,6 +15,7 @@
 	"second_request":   logrus.DebugLevel,
 	"leaf_call_failed": logrus.DebugLevel,
 	"caller_left":      logrus.DebugLevel,
+	"query_asked":      logrus.DebugLevel,
 	"peer_connected":   logrus.DebugLevel,
 
 	"store_lost":                logrus.WarnLevel,
@@ -40,6 +41,8 @@
 	"peer_accept_failed":        logrus.WarnLevel,
 	"peer_connections_too_many": logrus.WarnLevel,
 	"gatherer_lost":             logrus.WarnLevel,
+	"query_taken_back":          logrus.WarnLevel,
+	"query_taken_late":          logrus.WarnLevel,
 	"request_failed":            logrus.WarnLevel,
 	"request_suspect":           logrus.WarnLevel,
 	"query_given_up":            logrus.WarnLevel,
--- a/pkg/peers/ask.go
+++ b/pkg/peers/ask.go
@@ -73,8 +73,13 @@
 	if event.kind == queryAnswered && q != nil {
 		c.hop.learn(time.Since(q.sent) - micros(event.answer.HeldUs))
 	}
+	request, back := c.takenBack[number]
+	delete(c.takenBack, number)
 	c.mu.Unlock()
 	if q == nil {
+		if back && event.kind == queryTaken && c.late != nil {
+			c.late(c, request)
+		}
 		return nil
 	}
 	select {
@@ -159,6 +164,26 @@
 	}
 }
 
+// takenBackMost bounds the queries that are remembered as taken back.
+const takenBackMost = 256
+
+// takeBack drops a query that the peer has not taken in time.
+func (c *clientConn) takeBack(number uint64, request string) {
+	c.drop(number)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.takenBack) >= takenBackMost {
+		clear(c.takenBack)
+	}
+	c.takenBack[number] = request
+}
+
+// takenLate records that a peer took a query that had been taken back.
+func (p *Peers) takenLate(c *clientConn, request string) {
+	p.TakenLate.Add(1)
+	p.log.Decision("query_taken_late", oplog.Fields{"request": request, "peer": c.peer.Name})
+}
+
 // Ask implements gateway.Gatherers.
 func (p *Peers) Ask(ctx context.Context, q gateway.GatherQuery) (gateway.Answer, bool) {
 	c := p.gatherer(time.Now())
@@ -250,7 +275,12 @@
 	}
 	switch {
 	case !w.taken:
-		w.c.drop(w.number)
+		w.query.Request.TakenBack = true
+		w.c.takeBack(w.number, w.query.Request.ID)
+		w.p.log.Decision("query_taken_back", oplog.Fields{
+			"request": w.query.Request.ID, "route": w.query.Route.Name, "peer": w.c.peer.Name,
+			"after_ms": now.Sub(w.query.Request.Arrived).Milliseconds(),
+		})
 		w.p.silent(w.c)
 		return a, false, true
 	case now.After(w.query.End.Add(answerSlack)):
--- a/pkg/peers/conn.go
+++ b/pkg/peers/conn.go
@@ -35,6 +35,10 @@
 	pending map[uint64]*pending
 	asked   map[uint64]*asked
 	closed  bool
+	// takenBack are queries that the peer did not take in time, by number, with the IDs of
+	// their requests. late is told of one that it takes all the same.
+	takenBack map[uint64]string
+	late      func(c *clientConn, request string)
 	// heard is when the last frame came. A pointer to a time keeps its steady clock, which no
 	// change of the time of day moves.
 	heard atomic.Pointer[time.Time]
@@ -77,6 +81,7 @@
 	c := &clientConn{
 		peer: peer, conn: conn, codec: codec, w: bufio.NewWriter(conn),
 		texts: refWriter{numbers: make(map[string]uint16)}, pending: make(map[uint64]*pending), asked: make(map[uint64]*asked),
+		takenBack: make(map[uint64]string),
 	}
 	if err := c.writeLocked(kindHello, hello{Version: version, Name: self.Name, Zone: self.Zone}); err != nil {
 		_ = conn.Close() // The write's error says more.
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -78,8 +78,10 @@
 	// Handed counts queries that a gatherer was asked to run, Declined those that it
 	// did not run.
 	Handed, Declined atomic.Int64
-	done             chan struct{}
-	close            sync.Once
+	// TakenLate counts queries that a peer took after this instance had taken them back.
+	TakenLate atomic.Int64
+	done      chan struct{}
+	close     sync.Once
 }
 
 // New returns the agent of an instance that listens for datagrams on udp.
@@ -249,7 +251,7 @@
 		p.log.Decision("peer_unreached", oplog.Fields{"peer": m.Name, "peer_zone": m.Zone, "error": err.Error()})
 		return
 	}
-	c.silent, c.ended = p.silent, p.ended
+	c.silent, c.ended, c.late = p.silent, p.ended, p.takenLate
 	if p.feeds != nil {
 		c.news, c.page = p.heardNews, p.heardPage
 	}
