A query that another instance took is run once it is granted

Cause, by the lines of both instances: a gatherer short of processor time took a query more than 40 ms late. The instance that had handed it on had taken it back by then and ran it itself; saying that it takes the query was enough for the gatherer to run it, and both asked leafs before the cancellation was read.

The gatherer sends nothing before the grant; whoever took a query back never grants it. A caller that does neither is waited for 400 ms.

Ruled out by traces: a batch given to a second peer (each call of it had one peer), what a peer asks beside the instance (the leafs by instance add up to the two runs), a reborn leaf asked again (gateway_shards_over_attempts_total stayed 0 at each instance alone).

It costs a round trip in the zone for each query that is handed on. Where the grant or the gatherer is lost, the caller is told at once that the query may have run (IY4006), as before.

--- a/pkg/gateway/gatherers.go
+++ b/pkg/gateway/gatherers.go
@@ -68,9 +68,10 @@
 	}))
 }
 
-// Gather runs a query for another instance of the zone. It calls taken before anything is
-// sent; ok is false if the query did not run and will not.
-func (g *Gateway) Gather(ctx context.Context, req *Request, version int64, taken func()) (a Answer, ok bool) {
+// Gather runs a query for another instance of the zone. It calls granted before anything is
+// sent, and sends nothing unless that says that the query is this instance's to run; ok is
+// false if the query did not run and will not.
+func (g *Gateway) Gather(ctx context.Context, req *Request, version int64, granted func() bool) (a Answer, ok bool) {
 	c := g.config.Load()
 	if c == nil || c.Version != version {
 		return a, false
@@ -83,7 +84,9 @@
 	if g.inFlight.Add(1) > int64(g.opts.Load().MaxInFlight) {
 		return a, false
 	}
-	taken()
+	if !granted() {
+		return a, false
+	}
 	a = g.gather(ctx, req, route, g.deadline(req, route))
 	a.Route = route
 	return a, true
--- a/pkg/gateway/gatherers_test.go
+++ b/pkg/gateway/gatherers_test.go
@@ -41,15 +41,15 @@
 	req := &Request{ID: "r", Host: "h", Path: "/all/x", Arrived: time.Now(), Patience: time.Minute}
 	taken := 0
 	for _, version := range []int64{g.version() - 1, g.version() + 1} {
-		_, ok := g.Gather(t.Context(), req, version, func() { taken++ })
+		_, ok := g.Gather(t.Context(), req, version, func() bool { taken++; return true })
 		require.False(t, ok)
 	}
 	require.Zero(t, taken)
-	a, ok := g.Gather(t.Context(), req, g.version(), func() { taken++ })
+	a, ok := g.Gather(t.Context(), req, g.version(), func() bool { taken++; return true })
 	require.True(t, ok)
 	require.Equal(t, errcode.OK, a.Code)
 	require.Equal(t, 1, taken)
-	_, ok = g.Gather(t.Context(), &Request{Host: "h", Path: "/nowhere/"}, g.version(), func() { taken++ })
+	_, ok = g.Gather(t.Context(), &Request{Host: "h", Path: "/nowhere/"}, g.version(), func() bool { taken++; return true })
 	require.False(t, ok)
 	require.Equal(t, 1, taken)
 	require.Zero(t, g.InFlight())
--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -140,7 +140,7 @@
 	g := newGateway(t, 20, deadlyLeafs(&calls))
 	key := quarantine.KeyOf("/all/deadly")
 	g.quarantine.Learn(quarantine.Note{Key: key, Ends: []uint64{1, 2, 3}, LeftMs: 60000}, time.Now())
-	a, ok := g.Gather(t.Context(), &Request{ID: "r", Key: key, Host: "h", Path: "/all/deadly", Arrived: time.Now(), Patience: time.Minute}, g.version(), func() {})
+	a, ok := g.Gather(t.Context(), &Request{ID: "r", Key: key, Host: "h", Path: "/all/deadly", Arrived: time.Now(), Patience: time.Minute}, g.version(), func() bool { return true })
 	require.True(t, ok, "declined, the other instance would run it")
 	require.Equal(t, errcode.Quarantined, a.Code)
 	require.Len(t, a.Shards, 20)
--- a/pkg/oplog/levels.go
+++ b/pkg/oplog/levels.go
@@ -43,6 +43,7 @@
 	"gatherer_lost":             logrus.WarnLevel,
 	"query_taken_back":          logrus.WarnLevel,
 	"query_taken_late":          logrus.WarnLevel,
+	"query_not_granted":         logrus.WarnLevel,
 	"request_failed":            logrus.WarnLevel,
 	"request_suspect":           logrus.WarnLevel,
 	"query_given_up":            logrus.WarnLevel,
--- a/pkg/peers/ask.go
+++ b/pkg/peers/ask.go
@@ -151,6 +151,18 @@
 	return c.number, a, true
 }
 
+// grant lets the peer run a query that it has taken.
+func (c *clientConn) grant(number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed || c.asked[number] == nil {
+		return
+	}
+	if err := c.writeLocked(kindGrant, numbered{Number: number}); err != nil {
+		go c.end(err) // Whether it was granted is not known: it may have run.
+	}
+}
+
 // drop tells the peer that nobody waits for a query any more.
 func (c *clientConn) drop(number uint64) {
 	c.mu.Lock()
@@ -206,19 +218,18 @@
 	number uint64
 	asked  *asked
 	query  gateway.GatherQuery
-	// taken: the peer has said that it runs the query.
-	taken bool
+	// offer says who runs the query.
+	offer offer
 	// due is when the next word of the peer is expected at the latest.
 	due time.Time
 }
 
 // run waits for the answer.
 //
-// The peer may be killed, stand still or be cut off. As long as it has not said that it
-// runs the query this instance may run it itself, and does so soon. After that a second
-// run could reach more leafs of a shard than the route allows, and would double the load
-// of an overload; the caller is told at once that the query may have run, and comes
-// again.
+// The peer may be killed, stand still or be cut off. As long as the query was not granted to
+// it this instance may run it itself, and does so soon. After that a second run could reach
+// more leafs of a shard than the route allows, and would double the load of an overload; the
+// caller is told at once that the query may have run, and comes again.
 func (w *queryWait) run(ctx context.Context) (gateway.Answer, bool) {
 	timer := time.NewTimer(takenWithin)
 	defer timer.Stop()
@@ -246,7 +257,9 @@
 func (w *queryWait) event(e queryEvent) (a gateway.Answer, ok, done bool) {
 	switch e.kind {
 	case queryTaken:
-		w.taken = true
+		if w.offer.taken() {
+			w.c.grant(w.number)
+		}
 		return a, false, false
 	case queryAnswered:
 		a, err := w.answer(e.answer)
@@ -255,10 +268,10 @@
 			return w.lost(), true, true
 		}
 		return a, true, true
-	case queryLost:
-		if w.taken {
-			return w.lost(), true, true
-		}
+	}
+	// It is declined, or the connection has ended.
+	if !w.offer.refused() {
+		return w.lost(), true, true
 	}
 	w.p.Declined.Add(1)
 	return a, false, true
@@ -274,7 +287,7 @@
 		return a, false, false
 	}
 	switch {
-	case !w.taken:
+	case w.offer.refused():
 		w.query.Request.TakenBack = true
 		w.c.takeBack(w.number, w.query.Request.ID)
 		w.p.log.Decision("query_taken_back", oplog.Fields{
--- a/pkg/peers/frames.go
+++ b/pkg/peers/frames.go
@@ -35,7 +35,7 @@
 type kind uint8
 
 const (
-	// kindHello, kindBatch, kindQuery and kindCancel come from the caller.
+	// kindHello, kindBatch, kindQuery, kindCancel and kindGrant come from the caller.
 	kindHello kind = iota + 1
 	kindBatch
 	kindQuery
@@ -43,8 +43,8 @@
 	kindCancel
 	// kindFlush, kindTaken, kindDeclined, kindAnswer and kindBeat come from the peer.
 	kindFlush
-	// kindTaken says that a query was read and is being run, kindDeclined that it was
-	// not and will not be.
+	// kindTaken says that a query was read and will be run once it is granted, kindDeclined
+	// that it will not be.
 	kindTaken
 	kindDeclined
 	kindAnswer
@@ -55,6 +55,8 @@
 	kindListen
 	kindNews
 	kindPage
+	// kindGrant lets a query that was taken be run: its caller does not run it any more.
+	kindGrant
 )
 
 // numbered is a frame that says no more than which batch or query it is about.
--- a/pkg/peers/queries.go
+++ b/pkg/peers/queries.go
@@ -8,13 +8,15 @@
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/fanout"
 	"github.com/indigoyoke/indigoyoke/pkg/gateway"
+	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 )
 
 // Queries runs whole queries for peers of this instance's zone.
 type Queries interface {
-	// Gather runs a query under a version of the configuration and calls taken before
-	// anything is sent. ok is false if it did not run and will not.
-	Gather(ctx context.Context, req *gateway.Request, configVersion int64, taken func()) (a gateway.Answer, ok bool)
+	// Gather runs a query under a version of the configuration, once granted, which is called
+	// before anything is sent, says that it is this instance that runs it. ok is false if it
+	// did not run and will not.
+	Gather(ctx context.Context, req *gateway.Request, configVersion int64, granted func() bool) (a gateway.Answer, ok bool)
 }
 
 // query asks a peer of the same zone to run a whole query.
@@ -50,6 +52,9 @@
 	// is below 1 ms, and a small processor that has used up its share waits for up to
 	// 80 ms. Longer, and a target latency of 80 ms is lost with the wait alone.
 	takenWithin = 40 * time.Millisecond
+	// grantedWithin bounds the wait for a caller that neither grants a query nor takes it
+	// back, as one that stands still: the query counts among those in flight meanwhile.
+	grantedWithin = 400 * time.Millisecond
 	// timerLate is how late a timer may be before this process itself is taken to have
 	// stood still.
 	timerLate = 15 * time.Millisecond
@@ -76,26 +81,34 @@
 		Arrived: now.Add(-micros(q.AgeUs)), OnTheWay: micros(q.WayUs), Patience: micros(q.PatienceUs),
 	}
 	ctx, end := c.begin(q.Number)
+	h := c.expectGrant(q.Number)
 	return func() {
 		defer c.forget(q.Number)
 		defer end()
-		c.gather(ctx, q, req, now)
+		c.gather(ctx, q, h, req, now)
 	}, nil
 }
 
 // gather runs a query that has come at a time and sends its answer. A write that fails ends the connection, and
 // with it the query's caller knows.
-func (c *serverConn) gather(ctx context.Context, q query, req *gateway.Request, came time.Time) {
+func (c *serverConn) gather(ctx context.Context, q query, h *handover, req *gateway.Request, came time.Time) {
 	c.s.active.Add(1)
 	defer c.s.active.Add(-1)
 	if c.s.queries == nil || ctx.Err() != nil {
 		_ = c.write(kindDeclined, numbered{Number: q.Number})
 		return
 	}
-	a, ok := c.s.queries.Gather(ctx, req, q.ConfigVersion, func() {
-		c.s.Gathered.Add(1)
+	a, ok := c.s.queries.Gather(ctx, req, q.ConfigVersion, func() bool {
 		c.beat()
 		_ = c.write(kindTaken, numbered{Number: q.Number})
+		if !c.granted(ctx, h) {
+			c.s.log.Decision("query_not_granted", oplog.Fields{
+				"request": req.ID, "content": req.Key.String(), "peer": c.peer.Name, "after_ms": time.Since(came).Milliseconds(),
+			})
+			return false
+		}
+		c.s.Gathered.Add(1)
+		return true
 	})
 	switch {
 	case !ok:
@@ -107,6 +120,37 @@
 	}
 }
 
+// granted waits until the caller grants a query; false: it has taken it back, or is gone.
+func (c *serverConn) granted(ctx context.Context, h *handover) bool {
+	timer := time.NewTimer(grantedWithin)
+	defer timer.Stop()
+	select {
+	case <-h.grants:
+		return ctx.Err() == nil
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+	return false
+}
+
+// expectGrant notes a query that waits to be granted.
+func (c *serverConn) expectGrant(number uint64) *handover {
+	h := newHandover()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handovers[number] = h
+	return h
+}
+
+// grant is called when the caller grants a query.
+func (c *serverConn) grant(number uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if h := c.handovers[number]; h != nil {
+		h.grant()
+	}
+}
+
 // answer encodes an answer with the records of all parts merged.
 func (c *serverConn) answer(number uint64, a gateway.Answer) answer {
 	f := answer{Number: number, Code: uint16(a.Code), RetryAfterUs: uint64(a.RetryAfter.Microseconds()), Lacks: make([]byte, len(a.Shards))}
--- a/pkg/peers/queries_test.go
+++ b/pkg/peers/queries_test.go
@@ -18,10 +18,10 @@
 )
 
 // scriptedQueries runs queries as a test says.
-type scriptedQueries func(ctx context.Context, req *gateway.Request, version int64, taken func()) (gateway.Answer, bool)
+type scriptedQueries func(ctx context.Context, req *gateway.Request, version int64, granted func() bool) (gateway.Answer, bool)
 
-func (f scriptedQueries) Gather(ctx context.Context, req *gateway.Request, version int64, taken func()) (gateway.Answer, bool) {
-	return f(ctx, req, version, taken)
+func (f scriptedQueries) Gather(ctx context.Context, req *gateway.Request, version int64, granted func() bool) (gateway.Answer, bool) {
+	return f(ctx, req, version, granted)
 }
 
 // askBench is an instance whose queries a peer runs.
@@ -62,7 +62,7 @@
 
 // A query is run by the peer as its caller sent it, and its answer says the same.
 func TestQueryIsRunByAPeer(t *testing.T) {
-	b := newAskBench(t, func(_ context.Context, req *gateway.Request, version int64, taken func()) (gateway.Answer, bool) {
+	b := newAskBench(t, func(_ context.Context, req *gateway.Request, version int64, granted func() bool) (gateway.Answer, bool) {
 		require.EqualValues(t, 7, version)
 		require.Equal(t, "r1", req.ID)
 		require.Equal(t, "/x", req.Path)
@@ -71,7 +71,9 @@
 		require.Greater(t, req.OnTheWay, 2*time.Millisecond, "the way through this instance counts")
 		require.Less(t, req.OnTheWay, 2*time.Millisecond+2*hopMost)
 		require.WithinDuration(t, time.Now(), req.Arrived, time.Second)
-		taken()
+		if !granted() {
+			return gateway.Answer{}, false
+		}
 		return half(), true
 	})
 	for range 2 {
@@ -83,8 +85,10 @@
 		require.Equal(t, textReply{"p-t", []byte("rows")}, a.Shards[1].Reply.Content)
 	}
 	refused := gateway.Answer{Code: errcode.ShardsOverloaded, RetryAfter: 250 * time.Millisecond, Shards: make([]gateway.ShardAnswer, 2)}
-	b.server.queries = scriptedQueries(func(_ context.Context, _ *gateway.Request, _ int64, taken func()) (gateway.Answer, bool) {
-		taken()
+	b.server.queries = scriptedQueries(func(_ context.Context, _ *gateway.Request, _ int64, granted func() bool) (gateway.Answer, bool) {
+		if !granted() {
+			return gateway.Answer{}, false
+		}
 		return refused, true
 	})
 	a, ok := b.agent.Ask(t.Context(), gatherQuery())
@@ -95,7 +99,7 @@
 
 // What the peer declines is run here.
 func TestDeclinedQueryIsRunHere(t *testing.T) {
-	b := newAskBench(t, func(context.Context, *gateway.Request, int64, func()) (gateway.Answer, bool) {
+	b := newAskBench(t, func(context.Context, *gateway.Request, int64, func() bool) (gateway.Answer, bool) {
 		return gateway.Answer{}, false
 	})
 	_, ok := b.agent.Ask(t.Context(), gatherQuery())
@@ -129,7 +133,7 @@
 		}
 		<-wake
 		s := &Server{codec: textCodec{}, log: quietLog(), conns: map[net.Conn]struct{}{}, greeting: 1, queries: scriptedQueries(
-			func(context.Context, *gateway.Request, int64, func()) (gateway.Answer, bool) {
+			func(context.Context, *gateway.Request, int64, func() bool) (gateway.Answer, bool) {
 				ran <- struct{}{}
 				return gateway.Answer{}, false
 			})}
@@ -160,8 +164,10 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			started := make(chan struct{})
-			b := newAskBench(t, func(ctx context.Context, _ *gateway.Request, _ int64, taken func()) (gateway.Answer, bool) {
-				taken()
+			b := newAskBench(t, func(ctx context.Context, _ *gateway.Request, _ int64, granted func() bool) (gateway.Answer, bool) {
+				if !granted() {
+					return gateway.Answer{}, false
+				}
 				close(started)
 				<-ctx.Done()
 				return gateway.Answer{}, true
@@ -201,8 +207,10 @@
 // Symptom: queries are given up although their peer is well. Sequence: the time of day jumps
 // forward while they run. Cause: how long the peer has been silent was counted by it.
 func TestSilenceIsCountedByTheSteadyClock(t *testing.T) {
-	b := newAskBench(t, func(_ context.Context, _ *gateway.Request, _ int64, taken func()) (gateway.Answer, bool) {
-		taken()
+	b := newAskBench(t, func(_ context.Context, _ *gateway.Request, _ int64, granted func() bool) (gateway.Answer, bool) {
+		if !granted() {
+			return gateway.Answer{}, false
+		}
 		return half(), true
 	})
 	_, ok := b.agent.Ask(t.Context(), gatherQuery())
@@ -213,8 +221,10 @@
 
 // A peer at work on a slow query says that it is well, and is waited for.
 func TestSlowQueryIsWaitedFor(t *testing.T) {
-	b := newAskBench(t, func(_ context.Context, _ *gateway.Request, _ int64, taken func()) (gateway.Answer, bool) {
-		taken()
+	b := newAskBench(t, func(_ context.Context, _ *gateway.Request, _ int64, granted func() bool) (gateway.Answer, bool) {
+		if !granted() {
+			return gateway.Answer{}, false
+		}
 		time.Sleep(2 * beatsMissed)
 		return half(), true
 	})
@@ -228,8 +238,10 @@
 func TestLeavingCallerEndsItsQueryAtThePeer(t *testing.T) {
 	ended := make(chan struct{})
 	ctx, leave := context.WithCancel(t.Context())
-	b := newAskBench(t, func(ctx context.Context, _ *gateway.Request, _ int64, taken func()) (gateway.Answer, bool) {
-		taken()
+	b := newAskBench(t, func(ctx context.Context, _ *gateway.Request, _ int64, granted func() bool) (gateway.Answer, bool) {
+		if !granted() {
+			return gateway.Answer{}, false
+		}
 		leave()
 		<-ctx.Done()
 		close(ended)
--- a/pkg/peers/server.go
+++ b/pkg/peers/server.go
@@ -181,6 +181,8 @@
 
 	mu      sync.Mutex
 	cancels map[uint64]context.CancelFunc
+	// handovers are the queries that were taken, by number.
+	handovers map[uint64]*handover
 }
 
 // serve reads batches until the connection ends.
@@ -196,6 +198,7 @@
 	c := &serverConn{
 		s: s, conn: conn, ctx: ctx, w: bufio.NewWriter(conn),
 		texts: refReader{texts: make(map[uint16]string)}, cancels: make(map[uint64]context.CancelFunc),
+		handovers: make(map[uint64]*handover),
 	}
 	err := c.read(bufio.NewReader(conn))
 	c.greeted()
@@ -273,6 +276,10 @@
 			c.listen(l)
 		}
 		return nil, err
+	case kindGrant:
+		n, err := decode[numbered](raw)
+		c.grant(n.Number)
+		return nil, err
 	case kindCancel:
 		n, err := decode[numbered](raw)
 		c.cancel(n.Number)
@@ -295,6 +302,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	delete(c.cancels, number)
+	delete(c.handovers, number)
 }
 
 // cancel ends a batch or query whose caller has left.
