A query with requests in flight is not called unrun

What callers saw: 503 with IY2005, which promises that nothing ran and never will, although leafs had been asked and were still at work. Cause: only replies counted as signs of a run. Change: a query ends unrun only if nothing is in flight; otherwise IY4004 (502), which promises nothing. Ruled out as the mend: waiting for what is in flight (a refusal is to come at once).

--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -344,7 +344,8 @@
 	switch {
 	case r.query.GivenUp() && (r.query.Ran() || r.query.InFlight()):
 		a.Code = errcode.LeafsEnded
-	case !r.query.Ran():
+	case !r.query.Ran() && !r.query.InFlight():
+		// What is in flight may still run: its caller must not be told that nothing did.
 		a.Code = errcode.ShardsUnavailable
 		a.RetryAfter = r.g.opts.Load().RetryAfter
 	case state == fanout.Insufficient:
