A server whose requests are given up is not asked first without a second request in reserve

Where every shard is waited for, a second request was also left out because it was expected to be answered just after the deadline.

Change: the least counts in full; a leaf whose last request was given up and that has answered nothing since comes last while its service has no second request in reserve; a search that waits for every shard asks again as long as there is time.

Also: the reason of MaxAttempts stands at the constant.

--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -57,7 +57,9 @@
 // takes about a millisecond.
 const busyStep = 2 * time.Millisecond
 
-// MaxAttempts bounds the requests sent for one shard, whatever the route allows.
+// MaxAttempts bounds the requests sent for one shard. It counts requests, where the route's
+// bound counts leafs: a late query asks leafs that it has asked before again, each of the usual
+// two once. More would load a shard that fails already.
 const MaxAttempts = 4
 
 // Send tells the caller to send one request.
--- a/pkg/fanout/progress.go
+++ b/pkg/fanout/progress.go
@@ -160,10 +160,16 @@
 }
 
 // tooLate reports whether a second request to p would be answered after the
-// answer is given. Once the target has passed, and where every shard is waited
-// for, anything before the hard end is of use.
+// answer is given. Once the target has passed, anything before the hard end is of use.
+//
+// Where every shard is waited for until the end, nothing is saved by not asking: replies are
+// spread widely around what is expected, and the first leaf is silent. Not asking costs the
+// shard for certain; one notices searches whose budget is not used and that lack a shard.
 func (q *Query) tooLate(p replica.Placement, now time.Time) bool {
-	if q.aimed() && !q.overdue && now.Before(q.softEnd) {
+	if !q.aimed() {
+		return !now.Add(q.opts.HedgeLeast).Before(q.hardEnd)
+	}
+	if !q.overdue && now.Before(q.softEnd) {
 		return p.Suspect || now.Add(p.Expected).After(q.softEnd)
 	}
 	return now.Add(p.Expected).After(q.hardEnd)
--- a/pkg/replica/calls.go
+++ b/pkg/replica/calls.go
@@ -166,10 +166,11 @@
 // A leaf whose calls another one always answers first, and which are then ended,
 // never shows how slow it is; one notices that each query asks it first and pays
 // for a second request until their budget is used up. The wait is the least that
-// a reply would have taken, so it counts only where it is more than is believed.
+// a reply would have taken, so it counts only where it is more than is believed, and then in full.
 func (t *Table) learnAbandoned(r *row, c *Call, took time.Duration, now time.Time) {
+	r.givenUp = true
 	least := float64(took) / float64(t.typical(c.class))
 	if least > r.slownessNow(now) {
-		r.learnSlowness(least, now)
+		r.slowness, r.slownessAt = min(least, slownessCap), now
 	}
 }
--- a/pkg/replica/placement.go
+++ b/pkg/replica/placement.go
@@ -10,6 +10,11 @@
 	// lapsedFactor holds back leafs that vanished from the list around an
 	// outage: of those, the ones that crashed meanwhile are gone.
 	lapsedFactor = 2
+	// givenUpFactor holds back leafs whose last request was given up, as long as no second
+	// request could make up for another one. A server that takes seconds shows only how long
+	// it was waited for; believed as slow as a warm one that was late now and then, it is
+	// asked again, and its shard is missing from the answer.
+	givenUpFactor = 100
 	// tieSpread spreads instances that see two equal leafs over both, as a
 	// part of the cost.
 	tieSpread = 0.1
@@ -73,7 +78,8 @@
 	verdict := NoLeaf
 	var best Placement
 	bestCost := time.Duration(0)
-	for _, r := range t.service(serviceName).leafs {
+	s := t.service(serviceName)
+	for _, r := range s.leafs {
 		if r.Draining || !may(r.ID) {
 			continue
 		}
@@ -86,6 +92,9 @@
 			continue
 		}
 		p, cost := t.price(r, className, now)
+		if r.givenUp && !s.budget.Has(now) {
+			cost *= givenUpFactor
+		}
 		if verdict != Placed || cost < bestCost {
 			verdict, best, bestCost = Placed, p, cost
 		}
--- a/pkg/replica/row.go
+++ b/pkg/replica/row.go
@@ -67,6 +67,9 @@
 	lateSince  time.Time
 	refusals   float64
 	refusalsAt time.Time
+	// givenUp: the last request was given up, and nothing has been answered since. What is
+	// believed of its slowness is then the least that it can be.
+	givenUp bool
 
 	// room is how many requests the leaf's connection limit seemed to allow
 	// this instance at roomAt; zero: no limit was met.
@@ -223,6 +226,7 @@
 func (r *row) answered(now time.Time) {
 	r.failures = 0
 	r.unreached = false
+	r.givenUp = false
 	r.downUntil = time.Time{}
 	r.lastReply = now
 }
