--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -88,6 +88,7 @@
 	if n.gateway, err = gateway.New(gatewayOptions(set), n.table, n.leafs, n.log, gateway.NewStats(n.metrics)); err != nil {
 		return nil, err
 	}
+	n.gateway.Quarantine().SetMost(settings.Duration(set.Limits.QuarantineMostMs), time.Now())
 	n.follower = discovery.NewFollower(adapter.Source(set.Store.Address, n.log), n, storeOptions(set), n.log)
 	if n.front, err = front.New(set.Listen.Callers, adapter.Door(n.gateway, n.log), limitsUnknown, set.Limits.MaxConnections); err != nil {
 		return nil, err
--- a/pkg/quarantine/notes.go
+++ b/pkg/quarantine/notes.go
@@ -144,12 +144,14 @@
 		}
 		return t.turn(n.Key, from, now)
 	}
-	t.record(n.Key, now).learn(n, touched, now)
+	left := min(time.Duration(n.LeftMs)*time.Millisecond, t.most)
+	t.record(n.Key, now).learn(n, touched, now.Add(left))
 	return t.turn(n.Key, from, now)
 }
 
-// learn merges what another instance says, which a leaf's end at a time made it believe.
-func (r *record) learn(n Note, touched, now time.Time) {
+// learn merges what another instance says, which a leaf's end at a time made it believe, with
+// the end of its quarantine.
+func (r *record) learn(n Note, touched, until time.Time) {
 	fresh := len(r.ends) == 0
 	for _, end := range n.Ends {
 		r.add(end)
@@ -160,6 +162,5 @@
 		r.leaf = ""
 	}
 	r.trials = max(r.trials, min(int(n.Trials), len(quarantineFor)))
-	left := min(time.Duration(n.LeftMs)*time.Millisecond, quarantineFor[len(quarantineFor)-1])
-	r.until = later(r.until, now.Add(left))
+	r.until = later(r.until, until)
 }
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -51,6 +51,11 @@
 // soon tried again; one that ends leafs for good costs three of them in a day.
 var quarantineFor = [...]time.Duration{10 * time.Second, 10 * time.Minute, 24 * time.Hour}
 
+// manyQuarantined is how many requests may be quarantined at once before leafs are taken to
+// end whatever they run, as after a bad release. The fault is theirs then, and a long
+// quarantine would outlast its repair: each request is tried again after the shortest.
+const manyQuarantined = 16
+
 // A trial whose leaf neither answered nor ended says nothing: it refused for want of room, or
 // the time was up. The next one waits unresolvedFirst, and twice as long each time, up to
 // unresolvedMost.
@@ -110,6 +115,8 @@
 	// told are the changes that others have not been told yet.
 	told  []pendingNote
 	swept time.Time
+	// most bounds how long a request is quarantined.
+	most time.Duration
 	// size is the number of records, read without the lock: nearly always 0.
 	size atomic.Int64
 	// cursor is where Some goes on.
@@ -128,7 +135,19 @@
 }
 
 // NewTable returns a table that knows nothing.
-func NewTable() *Table { return &Table{records: make(map[Key]*record)} }
+func NewTable() *Table {
+	return &Table{records: make(map[Key]*record), most: quarantineFor[len(quarantineFor)-1]}
+}
+
+// SetMost bounds how long a request is quarantined, also those that are.
+func (t *Table) SetMost(most time.Duration, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.most = most
+	for _, r := range t.records {
+		r.until = earlier(r.until, now.Add(most))
+	}
+}
 
 // Counts are the counters.
 func (t *Table) Counts() *Counts { return &t.counts }
@@ -270,16 +289,24 @@
 		return t.turn(k, from, now)
 	case LeafEnded:
 		r.unresolved = 0
-		r.until = now.Add(quarantineFor[min(r.trials, len(quarantineFor)-1)])
+		r.until = now.Add(min(t.quarantineFor(r, now), t.most))
 		r.trials++
 	case Unresolved:
-		r.until = now.Add(min(unresolvedFirst<<min(r.unresolved, 16), unresolvedMost))
+		r.until = now.Add(min(unresolvedFirst<<min(r.unresolved, 16), unresolvedMost, t.most))
 		r.unresolved++
 	}
 	t.tell(k, false, now)
 	return t.turn(k, from, now)
 }
 
+// quarantineFor is how long a request is quarantined whose trial ended a leaf; mu is held.
+func (t *Table) quarantineFor(r *record, now time.Time) time.Duration {
+	if t.count(Quarantined, now) >= manyQuarantined {
+		return quarantineFor[0]
+	}
+	return quarantineFor[min(r.trials, len(quarantineFor)-1)]
+}
+
 // record returns the record of a request, made on first use; mu is held.
 func (t *Table) record(k Key, now time.Time) *record {
 	r := t.records[k]
@@ -335,6 +362,13 @@
 	}
 }
 
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -380,6 +414,11 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	return t.count(v, now)
+}
+
+// count is Count; mu is held.
+func (t *Table) count(v Verdict, now time.Time) int {
 	n := 0
 	for _, r := range t.records {
 		if r.verdict(now) == v {
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/binary"
+	"fmt"
 	"testing"
 	"time"
 
@@ -183,3 +184,41 @@
 	require.False(t, table.Learn(Note{Ends: []uint64{1, 2}}, epoch).Changed())
 	require.False(t, table.Learn(Note{Key: key(1), Ends: []uint64{1, 2}, AgeMs: 1<<32 - 1}, epoch).Changed(), "too old to matter")
 }
+
+// After a bad release leafs end whatever they run. Each request that comes again would be
+// quarantined for minutes and then a day, and stay so when the release is taken back.
+func TestQuarantineIsShortWhereAllRequestsEndLeafs(t *testing.T) {
+	table := NewTable()
+	now := epoch
+	for round := range 4 {
+		for n := range 3 * manyQuarantined {
+			for range 2 {
+				table.Ended(key(n), fmt.Sprint(round), fmt.Sprint(n, round), "s", now, now)
+			}
+			table.Ended(key(n), fmt.Sprint(round), fmt.Sprint("b", n, round), "s", now, now)
+			table.Admit(key(n), now)
+			table.TrialEnded(key(n), LeafEnded, now)
+		}
+		now = now.Add(11 * time.Second)
+	}
+	free := 0
+	for n := range 3 * manyQuarantined {
+		if table.Verdict(key(n), now) != Quarantined {
+			free++
+		}
+	}
+	require.GreaterOrEqual(t, free, 2*manyQuarantined, "all but a few are tried again")
+}
+
+// The operators' bound holds for what is quarantined already, and for what peers say.
+func TestMostIsTheOperators(t *testing.T) {
+	table, k := suspect()
+	table.Admit(k, at(time.Second))
+	table.TrialEnded(k, LeafEnded, at(time.Second))
+	table.SetMost(time.Second, at(2*time.Second))
+	require.Equal(t, time.Second, table.Left(k, at(2*time.Second)))
+	table.Learn(Note{Key: k, Ends: []uint64{1, 2}, LeftMs: 60000}, at(2*time.Second))
+	require.Equal(t, time.Second, table.Left(k, at(2*time.Second)))
+	require.Equal(t, Suspect, table.Admit(k, at(4*time.Second)).Verdict)
+	require.Equal(t, time.Second, table.TrialEnded(k, LeafEnded, at(4*time.Second)).For)
+}
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -125,6 +125,8 @@
 	MaxConnections int `yaml:"max_connections"`
 	// MaxPeerConnections bounds the connections of peers.
 	MaxPeerConnections int `yaml:"max_peer_connections"`
+	// QuarantineMostMs bounds how long a request that ends leafs is sent to none.
+	QuarantineMostMs int `yaml:"quarantine_most_ms"`
 }
 
 // NodeLog bounds the log.
@@ -241,7 +243,7 @@
 		// An instance may open 4,100 descriptors, 200 of them for files; 500
 		// are left for leafs, the store and operators. Of 195 instances one has 150
 		// peers at most.
-		Limits: NodeLimits{MaxInFlight: 400, Workers: 4096, MaxConnections: 3000, MaxPeerConnections: 400},
+		Limits: NodeLimits{MaxInFlight: 400, Workers: 4096, MaxConnections: 3000, MaxPeerConnections: 400, QuarantineMostMs: defaultQuarantineMost},
 		Log:    NodeLog{Level: "debug", LinesPerSecond: 5, Burst: 20, Buffer: 512},
 		Tick:   50,
 		Reload: NodeReload{EveryMs: 2000},
@@ -303,6 +305,7 @@
 		positive("limits.workers", n.Limits.Workers),
 		positive("limits.max_connections", n.Limits.MaxConnections),
 		positive("limits.max_peer_connections", n.Limits.MaxPeerConnections),
+		positive("limits.quarantine_most_ms", n.Limits.QuarantineMostMs),
 		oneOf("log.level", n.Log.Level, "debug", "info", "warn", "error"),
 		positive("log.lines_per_second", n.Log.LinesPerSecond),
 		positive("log.burst", n.Log.Burst),
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -37,6 +37,8 @@
 	Policy           string `yaml:"policy"`
 	HedgeBudgetPct   int    `yaml:"hedge_budget_percent"`
 	HedgeMinMs       int    `yaml:"hedge_min_ms"`
+	// QuarantineMostMs bounds how long a request that ends backend servers is sent to none.
+	QuarantineMostMs int `yaml:"quarantine_most_ms"`
 	// RelayListen, when set, is where peers ask for the configuration (UDP);
 	// Peers are their relay addresses and RelaySecret what all share.
 	RelayListen     string   `yaml:"relay_listen"`
@@ -109,11 +111,13 @@
 	defaultHedgeMinMs    = 5
 	defaultZonePenaltyMs = 2.0
 	defaultRelayInterval = 1000
-	minRelaySecret       = 16
-	defaultSlots         = 2
-	defaultMaxConns      = 25
-	defaultReadsPerSec   = 2000
-	defaultWatchTimeout  = 5000
+	// defaultQuarantineMost is a day, in ms.
+	defaultQuarantineMost = 24 * 60 * 60 * 1000
+	minRelaySecret        = 16
+	defaultSlots          = 2
+	defaultMaxConns       = 25
+	defaultReadsPerSec    = 2000
+	defaultWatchTimeout   = 5000
 )
 
 // Datasets a backend server stand-in can fake.
@@ -176,6 +180,7 @@
 	fillInt(&s.HedgeBudgetPct, defaultHedgeBudget)
 	fillInt(&s.HedgeMinMs, defaultHedgeMinMs)
 	fillInt(&s.RelayIntervalMs, defaultRelayInterval)
+	fillInt(&s.QuarantineMostMs, defaultQuarantineMost)
 	if s.ZonePenaltyMs == 0 {
 		s.ZonePenaltyMs = defaultZonePenaltyMs
 	}
@@ -186,6 +191,7 @@
 		oneOf("policy", s.Policy, PolicyHedged, PolicyNaive),
 		between("hedge_budget_percent", s.HedgeBudgetPct, 0, 100),
 		positive("hedge_min_ms", s.HedgeMinMs),
+		positive("quarantine_most_ms", s.QuarantineMostMs),
 		positive("zone_penalty_ms", s.ZonePenaltyMs),
 		s.checkRelay(),
 		required("name", s.Name),
