A query that leafs have answered is answered; a suspect without a service stays free to be tried

Read once more: a query under way was given up when others said that the same request ends leafs, also where leafs had answered it here (a ready answer was withheld); and a request with no service to go to was noted as being tried for 30 s.

--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -68,9 +68,13 @@
 	}
 }
 
-// harmful reports whether a query under way is to be given up: others have seen it end leafs.
-// One that still waits for room has not begun, and is not begun as a suspect.
+// harmful reports whether a query under way is to be given up: others have seen it end leafs,
+// and here no leaf has answered it. One that still waits for room has not begun, and is not
+// begun as a suspect.
 func (r *gathering) harmful(now time.Time) bool {
+	if r.query.Covered() > 0 {
+		return false
+	}
 	switch r.g.quarantine.Verdict(r.req.Key, now) {
 	case quarantine.Quarantined:
 		return true
--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -14,6 +14,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/fanout"
 	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
+	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
 
 // deadlyLeafs end when they run a request with "deadly" in its path, and answer others.
@@ -166,3 +167,31 @@
 	require.Equal(t, quarantine.Quarantined, g.quarantine.Verdict(key, time.Now()))
 	require.Equal(t, quarantine.Suspect, g.quarantine.Verdict(key, time.Now().Add(10*time.Second)))
 }
+
+// A query that leafs have answered is answered, whatever others say of it meanwhile.
+func TestReadyAnswerIsDelivered(t *testing.T) {
+	key := quarantine.KeyOf("/all/x")
+	var g *Gateway
+	g = newGateway(t, 20, func(ctx context.Context, call LeafCall) LeafReply {
+		if call.Service == "s0" {
+			time.Sleep(30 * time.Millisecond)
+			g.quarantine.Learn(quarantine.Note{Key: key, Ends: []uint64{1, 2, 3}, LeftMs: 60000}, time.Now())
+		}
+		return answered(ctx, call)
+	})
+	require.Equal(t, errcode.OK, attempt(g, "/all/x").Code)
+	require.Equal(t, errcode.Quarantined, attempt(g, "/all/x").Code)
+}
+
+// A suspect for which no service is to be had stays free to be tried.
+func TestSuspectWithoutAServiceIsNotTried(t *testing.T) {
+	g := newGateway(t, 1, answered)
+	route := &routing.Route{Name: "none", Kind: routing.Repeatable, MaxAttempts: 2}
+	key := quarantine.KeyOf("none")
+	for _, leaf := range []string{"a", "b", "c"} {
+		g.quarantine.Ended(key, "earlier", leaf, "one", time.Now(), time.Now())
+	}
+	a := g.Serve(t.Context(), &Request{ID: "r", Key: key, Arrived: time.Now()}, route)
+	require.Equal(t, errcode.ShardsUnavailable, a.Code)
+	require.Equal(t, quarantine.Suspect, g.quarantine.Admit(key, time.Now()).Verdict)
+}
--- a/pkg/gateway/single.go
+++ b/pkg/gateway/single.go
@@ -37,14 +37,14 @@
 
 // single runs a request that goes to one leaf.
 func (g *Gateway) single(ctx context.Context, req *Request, route *routing.Route, end time.Time) Answer {
-	admission := g.quarantine.Admit(req.Key, time.Now())
-	if admission.Verdict == quarantine.Quarantined {
-		return g.refuseQuarantined(req, route, admission.RetryAfter)
-	}
 	service := g.splitter.Pick(route)
 	if service == "" {
 		return g.refuse(req, route, errcode.ShardsUnavailable, g.opts.Load().RetryAfter)
 	}
+	admission := g.quarantine.Admit(req.Key, time.Now())
+	if admission.Verdict == quarantine.Quarantined {
+		return g.refuseQuarantined(req, route, admission.RetryAfter)
+	}
 	// Calls still open when the answer is given, or the caller has left, are
 	// ended: their work is for nobody. Not so a request that may run once: what
 	// has begun is better finished than broken off half way.
