--- a/pkg/quarantine/fleet_test.go
+++ b/pkg/quarantine/fleet_test.go
@@ -56,7 +56,6 @@
 	// cutUntil is when the first instances are together with the others again.
 	cutUntil   time.Time
 	cutMembers int
-	healed     time.Time
 	air        []parcel
 	runs       []simRun
 	attempts   int
