A trial whose leaf breaks off counts as its end; the question waits 50 ms

On a machine short of processor time the answer whether anything listens at a leaf's address comes after 20 ms: the end of a leaf was taken for a broken connection, and in a trial that meant another one in 5 s, 10 s, 20 s.

--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -42,11 +42,15 @@
 }
 
 // trialOf is how a trial ended whose one leaf call had this outcome.
+//
+// A connection that only broke off counts as the end of its leaf here: on a machine short of
+// processor time the question whether anything listens is answered too late, and a request that
+// ends leafs would be tried again and again.
 func trialOf(outcome replica.Outcome) quarantine.Trial {
 	switch outcome {
 	case replica.Answered:
 		return quarantine.Answered
-	case replica.Ended:
+	case replica.Ended, replica.Broken, replica.Crowded:
 		return quarantine.LeafEnded
 	case replica.NotSent, replica.Misdirected, replica.PeerRefused:
 		return quarantine.Unsent
--- a/pkg/gateway/quarantine_test.go
+++ b/pkg/gateway/quarantine_test.go
@@ -195,3 +195,17 @@
 	require.Equal(t, errcode.ShardsUnavailable, a.Code)
 	require.Equal(t, quarantine.Suspect, g.quarantine.Admit(key, time.Now()).Verdict)
 }
+
+// On a machine short of processor time nobody learned whether the leaf of a trial had ended: its
+// connection had only broken off, and the request was tried again every few seconds.
+func TestTrialThatBreaksOffCountsAsAnEnd(t *testing.T) {
+	for _, outcome := range []replica.Outcome{replica.Broken, replica.Crowded, replica.Ended} {
+		g := newGateway(t, 20, func(context.Context, LeafCall) LeafReply { return LeafReply{Outcome: outcome} })
+		key := quarantine.KeyOf("/all/x")
+		for _, leaf := range []string{"a", "b", "c"} {
+			g.quarantine.Ended(key, "earlier", leaf, "s3", time.Now(), time.Now())
+		}
+		attempt(g, "/all/x")
+		require.Greater(t, g.quarantine.Left(key, time.Now()), 9*time.Second, outcome.String())
+	}
+}
--- a/pkg/sock/refuses.go
+++ b/pkg/sock/refuses.go
@@ -21,6 +21,6 @@
 }
 
 // RefusedWithin is how long the question may take whether a server that broke a request off
-// has ended: some round trips between zones. Longer, and a request that may be sent to
-// another server waits for it.
-const RefusedWithin = 20 * time.Millisecond
+// has ended: some round trips between zones, and a late timer on a small processor. Longer, and
+// a request that may be sent to another server waits for it.
+const RefusedWithin = 50 * time.Millisecond
