--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -32,6 +32,30 @@
 	// UnreadableLeaf is a leaf whose entry cannot be decoded: there is no leaf to
 	// use under this ID.
 	UnreadableLeaf string
+	// Evacuated is an availability zone whose leafs are to get nothing, Readmitted one that
+	// is taken back.
+	Evacuated, Readmitted string
+}
+
+// Listing names what a complete listing holds.
+type Listing struct {
+	// Leafs are the IDs of the leafs, Evacuated the availability zones that are evacuated.
+	Leafs, Evacuated map[string]bool
+}
+
+// newListing returns an empty listing.
+func newListing() Listing {
+	return Listing{Leafs: make(map[string]bool), Evacuated: make(map[string]bool)}
+}
+
+// add adds what an event names.
+func (l Listing) add(e Event) {
+	if e.Leaf != nil {
+		l.Leafs[e.Leaf.ID] = true
+	}
+	if e.Evacuated != "" {
+		l.Evacuated[e.Evacuated] = true
+	}
 }
 
 // Page is what one call to the store brought.
@@ -66,8 +90,10 @@
 	LeafGone(id string)
 	// LeafUnreadable is told a leaf whose entry cannot be decoded.
 	LeafUnreadable(id string)
-	// Listed is told all leafs of a complete listing.
-	Listed(ids map[string]bool)
+	// ZoneEvacuated is told a zone that the operator evacuates, or has taken back.
+	ZoneEvacuated(zone string, evacuated bool)
+	// Listed is told a complete listing: what it lacks is gone.
+	Listed(l Listing)
 	ConfigSeen(c *routing.Config)
 	// StoreReturned is told before the first events after an outage.
 	StoreReturned()
@@ -242,7 +268,7 @@
 // between two of them. Watching on from the first page's revision replays what
 // was missed.
 func (f *Follower) list(ctx context.Context) error {
-	ids := make(map[string]bool)
+	listing := newListing()
 	var events []Event
 	next := ""
 	revision := int64(-1)
@@ -260,9 +286,7 @@
 		}
 		events = append(events, page.Events...)
 		for _, e := range page.Events {
-			if e.Leaf != nil {
-				ids[e.Leaf.ID] = true
-			}
+			listing.add(e)
 		}
 		if page.Next == "" {
 			break
@@ -270,10 +294,10 @@
 		next = page.Next
 	}
 	f.take(feed.Page{Full: true, To: revision}, events)
-	f.addLater(ids, revision)
-	f.sink.Listed(ids)
+	f.addLater(listing, revision)
+	f.sink.Listed(listing)
 	f.answered()
-	f.log.State("store_listed", oplog.Fields{"revision": revision, "leafs": len(ids)})
+	f.log.State("store_listed", oplog.Fields{"revision": revision, "leafs": len(listing.Leafs), "evacuated_zones": len(listing.Evacuated)})
 	return nil
 }
 
@@ -289,6 +313,10 @@
 			f.sink.LeafGone(e.GoneLeaf)
 		case e.UnreadableLeaf != "":
 			f.sink.LeafUnreadable(e.UnreadableLeaf)
+		case e.Evacuated != "":
+			f.sink.ZoneEvacuated(e.Evacuated, true)
+		case e.Readmitted != "":
+			f.sink.ZoneEvacuated(e.Readmitted, false)
 		case e.Config != nil:
 			config = e.Config
 		}
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"testing"
 	"time"
@@ -45,8 +46,8 @@
 // record is a sink that notes what it is told.
 type record struct {
 	told []string
-	// ids are those of the last listing.
-	ids map[string]bool
+	// listing is the last one.
+	listing Listing
 }
 
 func (r *record) LeafSeen(l replica.Leaf)      { r.told = append(r.told, "leaf "+l.ID) }
@@ -55,9 +56,13 @@
 func (r *record) ConfigSeen(c *routing.Config) { r.told = append(r.told, "config") }
 func (r *record) StoreReturned()               { r.told = append(r.told, "returned") }
 
-func (r *record) Listed(ids map[string]bool) {
+func (r *record) ZoneEvacuated(zone string, evacuated bool) {
+	r.told = append(r.told, fmt.Sprint("evacuated ", zone, " ", evacuated))
+}
+
+func (r *record) Listed(l Listing) {
 	r.told = append(r.told, "listed")
-	r.ids = ids
+	r.listing = l
 }
 
 func follower(s *script) (*Follower, *record) {
--- a/pkg/discovery/fed.go
+++ b/pkg/discovery/fed.go
@@ -113,19 +113,17 @@
 	fresh := f.book.Take(p)
 	f.rise()
 	events := make([]Event, 0, len(fresh))
-	ids := make(map[string]bool)
+	listing := newListing()
 	for _, it := range fresh {
 		e := f.source.Decode(it)
-		if e.Leaf != nil {
-			ids[e.Leaf.ID] = true
-		}
+		listing.add(e)
 		events = append(events, e)
 	}
 	f.apply(events)
 	if first {
 		// What was known before was dropped, if there was anything: all that is new is all
 		// there is.
-		f.sink.Listed(ids)
+		f.sink.Listed(listing)
 	}
 	f.mu.Unlock()
 	if p.Full {
@@ -214,15 +212,13 @@
 	}
 }
 
-// addLater adds the leafs that another instance has told of since a listing began: the
-// listing may lack them.
-func (f *Follower) addLater(ids map[string]bool, revision int64) {
+// addLater adds what another instance has told of since a listing began: the listing may lack
+// it.
+func (f *Follower) addLater(listing Listing, revision int64) {
 	f.mu.Lock()
 	later := f.book.Since(max(revision, 1), time.Now())
 	f.mu.Unlock()
 	for _, it := range later.Items {
-		if leaf := f.source.Decode(it).Leaf; leaf != nil {
-			ids[leaf.ID] = true
-		}
+		listing.add(f.source.Decode(it))
 	}
 }
--- a/pkg/discovery/fed_test.go
+++ b/pkg/discovery/fed_test.go
@@ -68,7 +68,7 @@
 	s.lists = []Page{{Events: []Event{entryEvent("a", 3)}, Revision: 5}}
 	f.step(context.Background())
 	require.Equal(t, []string{"leaf new", "listed", "leaf a", "listed"}, r.told)
-	require.Equal(t, map[string]bool{"new": true, "a": true}, r.ids)
+	require.Equal(t, map[string]bool{"new": true, "a": true}, r.listing.Leafs)
 }
 
 // Symptom: an instance hears of no change any more. Sequence: another one claims a revision
@@ -87,7 +87,7 @@
 		require.False(t, f.Known())
 		f.step(context.Background())
 		require.EqualValues(t, 12, f.Revision())
-		require.Equal(t, map[string]bool{"b": true}, r.ids)
+		require.Equal(t, map[string]bool{"b": true}, r.listing.Leafs)
 	})
 	t.Run("by another instance", func(t *testing.T) {
 		f, r := follower(&script{})
@@ -98,7 +98,7 @@
 		require.False(t, f.Known())
 		require.NoError(t, f.TakeFed(feed.Page{Full: true, To: 12, Items: []feed.Item{entry("c", 12)}}))
 		require.EqualValues(t, 12, f.Revision())
-		require.Equal(t, map[string]bool{"c": true}, r.ids, "what is not there any more is out of use")
+		require.Equal(t, map[string]bool{"c": true}, r.listing.Leafs, "what is not there any more is out of use")
 	})
 	f, _ := follower(&script{})
 	require.ErrorIs(t, f.TakeFed(feed.Page{Full: true, To: 1 << 60}), feed.ErrRevision)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -188,6 +188,7 @@
 	// isolatedSince is when the instance was found isolated, nil when it is
 	// not.
 	isolatedSince atomic.Pointer[time.Time]
+	evacuations   evacuations
 	inFlight      atomic.Int64
 }
 
@@ -200,6 +201,7 @@
 	g := &Gateway{
 		table: table, leafs: leafs, log: log, stats: stats,
 		splitter: routing.NewSplitter(), patience: newPatienceTable(), quarantine: quarantine.NewTable(), pool: pool, configured: make(chan struct{}),
+		evacuations: evacuations{since: make(map[string]time.Time)},
 	}
 	g.opts.Store(&opts)
 	stats.watchQuarantine(g.quarantine)
--- a/pkg/gateway/stats.go
+++ b/pkg/gateway/stats.go
@@ -57,6 +57,11 @@
 	}
 }
 
+// emptied records how long after an evacuation was heard of the last request in that zone ended.
+func (s *Stats) emptied(took time.Duration) {
+	s.set.GetOrCreateHistogram(`gateway_evacuation_seconds`).Update(took.Seconds())
+}
+
 func (s *Stats) left() { s.set.GetOrCreateCounter(`gateway_callers_left_total`).Inc() }
 
 func (s *Stats) leaf(outcome replica.Outcome, took time.Duration) {
--- a/pkg/gateway/tick.go
+++ b/pkg/gateway/tick.go
@@ -32,6 +32,7 @@
 		go g.probeZone(leaf)
 	}
 	g.noticeIsolation(now)
+	g.noticeEmptied(now)
 	g.quarantine.Sweep(now)
 }
 
--- a/pkg/node/sink.go
+++ b/pkg/node/sink.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/indigoyoke/indigoyoke/pkg/discovery"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
@@ -50,13 +51,18 @@
 	}
 }
 
-// Listed implements discovery.Sink: what a complete listing lacks is gone.
-func (n *Node) Listed(ids map[string]bool) {
+// Listed implements discovery.Sink.
+func (n *Node) Listed(l discovery.Listing) {
 	for _, id := range n.table.IDs() {
-		if !ids[id] {
+		if !l.Leafs[id] {
 			n.LeafGone(id)
 		}
 	}
+	for _, zone := range n.table.Evacuated() {
+		if !l.Evacuated[zone] {
+			n.ZoneEvacuated(zone, false)
+		}
+	}
 }
 
 // ConfigSeen implements discovery.Sink.
@@ -70,3 +76,6 @@
 
 // StoreReturned implements discovery.Sink.
 func (n *Node) StoreReturned() { n.table.StoreReturned(time.Now()) }
+
+// ZoneEvacuated implements discovery.Sink.
+func (n *Node) ZoneEvacuated(zone string, evacuated bool) { n.gateway.SetEvacuated(zone, evacuated) }
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -71,6 +71,8 @@
 	Members       []MemberState       `json:"members"`
 	// Quarantine lists the requests that are suspected of ending leafs, or known to.
 	Quarantine []quarantine.State `json:"quarantine"`
+	// Evacuated are the availability zones whose leafs are to get nothing.
+	Evacuated []string `json:"evacuated"`
 	// Peers are the names of the peers that are connected.
 	Peers []string   `json:"peers"`
 	Store StoreState `json:"store"`
@@ -92,6 +94,7 @@
 		Name: set.Name, Zone: set.Zone, Ready: n.ready(), Draining: n.draining.Load(),
 		UptimeMs: time.Since(n.started).Milliseconds(), InFlight: n.gateway.InFlight(),
 		OpenConns: n.pool.Stats.OpenConns.Load(), Leafs: n.table.Dump(time.Now()), Members: n.peering.state(), Peers: n.peering.connected(),
+		Evacuated:  n.table.Evacuated(),
 		Quarantine: n.gateway.Quarantine().Dump(time.Now()),
 		Store:      StoreState{Reading: n.follower.Reading(), Revision: n.follower.Revision(), AgeMs: n.follower.Age(time.Now()).Milliseconds()},
 	}
@@ -110,6 +113,7 @@
 		}
 		return 0
 	})
+	gauge("node_evacuated_zones", func() float64 { return float64(len(n.table.Evacuated())) })
 	gauge("node_config_version", func() float64 {
 		if c := n.gateway.Config(); c != nil {
 			return float64(c.Version)
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -84,6 +84,8 @@
 	services map[string]*service
 	classes  map[string]*class
 	zones    map[string]*zoneState
+	// evacuated are the zones whose leafs are to get nothing.
+	evacuated map[string]bool
 	// sequences remembers the newest report of leafs that left, so that a
 	// delayed older report does not bring them back.
 	sequences map[string]departed
@@ -123,6 +125,7 @@
 		services:  make(map[string]*service),
 		classes:   make(map[string]*class),
 		zones:     make(map[string]*zoneState),
+		evacuated: make(map[string]bool),
 		sequences: make(map[string]departed),
 		maxConns:  make(map[string]int),
 	}
