An evacuated zone gets nothing

Cause: nothing read the operator's entry. The probe of a suspected zone waits. A peer that has heard of it does not send a batch's calls there, for a caller that has not, and says that they did not run. Requests under way are finished. Shards whose only leafs are in such a zone are left out and counted as missing; what cannot be served is refused at once. An instance is isolated only where others could serve: shards that nobody may ask count for none.

--- a/pkg/peers/batches.go
+++ b/pkg/peers/batches.go
@@ -101,6 +101,10 @@
 		w.replies <- done{leaf: i, reply: gateway.LeafReply{Outcome: replica.PeerRefused, Err: errDraining}}
 		return
 	}
+	if w.c.s.table.IsEvacuated(leaf.Zone) {
+		w.replies <- done{leaf: i, reply: gateway.LeafReply{Outcome: replica.PeerRefused, Err: errEvacuated}}
+		return
+	}
 	began := time.Now()
 	if w.c.s.quarantine != nil && w.c.s.quarantine.Left(w.req.Key, began) > 0 {
 		w.replies <- done{leaf: i, reply: gateway.LeafReply{Outcome: replica.PeerRefused, Err: errQuarantined}}
@@ -119,6 +123,9 @@
 // errQuarantined: this instance has heard that the request ends leafs.
 var errQuarantined = errors.New("the request is quarantined")
 
+// errEvacuated: this instance has heard that the leaf's zone is evacuated.
+var errEvacuated = errors.New("the availability zone is evacuated")
+
 // errDraining: this instance has heard that the leaf takes no new work.
 var errDraining = errors.New("the leaf is draining")
 
--- a/pkg/replica/calls.go
+++ b/pkg/replica/calls.go
@@ -71,13 +71,13 @@
 
 // Begin counts a request as in flight at the placed leaf. It returns nil when
 // other requests have taken the last of the leaf's connections since it was
-// placed.
+// placed, or its zone is evacuated.
 func (t *Table) Begin(p Placement, className string, now time.Time) *Call {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.leafs[p.Leaf.ID]
 	if r != nil {
-		if t.full(r, now) {
+		if t.evacuated[r.Zone] || t.full(r, now) {
 			return nil
 		}
 		r.begin(now)
--- a/pkg/replica/evacuation.go
+++ b/pkg/replica/evacuation.go
@@ -46,3 +46,13 @@
 	defer t.mu.Unlock()
 	return slices.Sorted(maps.Keys(t.evacuated))
 }
+
+// IsEvacuated reports whether a zone is evacuated.
+func (t *Table) IsEvacuated(zone string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.evacuated[zone]
+}
+
+// open reports whether a leaf may get new requests at all; mu is held.
+func (t *Table) open(r *row) bool { return !r.Draining && !t.evacuated[r.Zone] }
--- a/pkg/replica/zones.go
+++ b/pkg/replica/zones.go
@@ -75,7 +75,7 @@
 	defer t.mu.Unlock()
 	var out []Leaf
 	for name, z := range t.zones {
-		if !z.suspected || now.Sub(z.probedAt) < zoneProbeEvery {
+		if !z.suspected || t.evacuated[name] || now.Sub(z.probedAt) < zoneProbeEvery {
 			continue
 		}
 		if leaf, ok := t.anyLeaf(name); ok {
@@ -135,20 +135,27 @@
 	return false
 }
 
-// Servable is how many of the services have a listed leaf outside the
-// suspected zones.
-func (t *Table) Servable(services []string) int {
+// Servable is how many of the services have a leaf that may get requests, and reachable how many
+// have one outside the suspected zones.
+func (t *Table) Servable(services []string) (servable, reachable int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	n := 0
 	for _, name := range services {
+		any, here := false, false
 		for _, r := range t.service(name).leafs {
-			z := t.zones[r.Zone]
-			if !r.Draining && (z == nil || !z.suspected) {
-				n++
-				break
+			if !t.open(r) {
+				continue
 			}
+			any = true
+			z := t.zones[r.Zone]
+			here = here || z == nil || !z.suspected
+		}
+		if any {
+			servable++
+		}
+		if here {
+			reachable++
 		}
 	}
-	return n
+	return servable, reachable
 }
