--- a/pkg/gateway/config.go
+++ b/pkg/gateway/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
 
@@ -14,10 +15,15 @@
 		return false
 	}
 	limits := make(map[string]int, len(c.Services))
+	cold := make(map[string]replica.ColdLimit)
 	for name, s := range c.Services {
 		limits[name] = s.MaxConns
+		if s.ColdPerSecond > 0 {
+			cold[name] = g.coldLimit(s)
+		}
 	}
 	g.table.SetMaxConns(limits)
+	g.table.SetColdLimits(cold)
 	g.table.SetShards(onlyShards(c))
 	g.splitter.Reset()
 	if g.config.Swap(c) == nil {
@@ -26,6 +32,12 @@
 	return true
 }
 
+// coldLimit is what a cold leaf of a service may get from all instances together.
+func (g *Gateway) coldLimit(s routing.Service) replica.ColdLimit {
+	opts := g.opts.Load()
+	return replica.ColdLimit{PerSecond: s.ColdPerSecond*opts.ColdFactor + opts.ColdSlack, For: s.ColdFor}
+}
+
 // onlyShards are the services of a configuration that are asked as shards of queries and
 // not alone.
 func onlyShards(c *routing.Config) map[string]bool {
--- a/pkg/gateway/evacuation.go
+++ b/pkg/gateway/evacuation.go
@@ -16,7 +16,8 @@
 // SetEvacuated takes over whether the operator evacuates an availability zone. Requests that are
 // under way there are finished.
 func (g *Gateway) SetEvacuated(zone string, evacuated bool) {
-	news, inFlight := g.table.SetEvacuated(zone, evacuated)
+	now := time.Now()
+	news, inFlight := g.table.SetEvacuated(zone, evacuated, now)
 	if !news {
 		return
 	}
@@ -27,7 +28,7 @@
 		g.log.State("zone_readmitted", oplog.Fields{"evacuated_zone": zone})
 		return
 	}
-	g.evacuations.since[zone] = time.Now()
+	g.evacuations.since[zone] = now
 	g.log.State("zone_evacuated", oplog.Fields{"evacuated_zone": zone, "in_flight": inFlight})
 }
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -161,6 +161,9 @@
 	EndLosers bool
 	// AnswerMargin is kept back from deadlines to write an answer.
 	AnswerMargin time.Duration
+	// ColdFactor and ColdSlack make the bound of what a cold leaf may get in a second out of what
+	// is published of its service: factor times that, and slack.
+	ColdFactor, ColdSlack float64
 	// RetryAfter is the hint of refusals that know no better.
 	RetryAfter time.Duration
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -99,6 +99,9 @@
 	if n.peering, err = n.newPeering(set, adapter.Peers); err != nil {
 		return nil, err
 	}
+	if n.peering == nil {
+		n.table.SetWarmers(replica.Warmers{Alone: set.Leafs.Instances})
+	}
 	n.registerGauges()
 	n.registerPeers()
 	return n, nil
@@ -131,7 +134,8 @@
 		MaxInFlight: set.Limits.MaxInFlight, Workers: set.Limits.Workers,
 		DefaultPatience: settings.Duration(set.Answer.DefaultPatienceMs),
 		AnswerMargin:    margin,
-		RetryAfter:      settings.Duration(set.Answer.RetryAfterMs),
+		ColdFactor:      set.Bounds.ColdFactor, ColdSlack: set.Bounds.ColdSlack,
+		RetryAfter: settings.Duration(set.Answer.RetryAfterMs),
 	}
 }
 
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"time"
 
@@ -42,6 +43,7 @@
 	}
 	self := membership.Member{Name: set.Name, Addr: ln.Addr().String(), Zone: set.Zone, Room: room(set)}
 	agent := peers.New(self, seedAddrs(set.Peers.Seeds, addr.Port), udp, codec, n.log)
+	agent.ShareWarming(set.Bounds.Zones, others(set.Peers.Seeds, addr.IP), n.table.SetWarmers)
 	server.Heed(n.gateway.Quarantine())
 	agent.ShareQuarantine(n.gateway.Quarantine())
 	if set.Peers.Batches {
@@ -82,6 +84,14 @@
 	return out
 }
 
+// others reports whether the seeds name an instance with another address than this one's.
+func others(seeds []string, own net.IP) bool {
+	return slices.ContainsFunc(seeds, func(seed string) bool {
+		host, _, err := net.SplitHostPort(seed)
+		return err == nil && host != own.String()
+	})
+}
+
 // start serves in the background.
 func (p *peering) start() {
 	if p == nil {
--- a/pkg/peers/batches.go
+++ b/pkg/peers/batches.go
@@ -101,11 +101,15 @@
 		w.replies <- done{leaf: i, reply: gateway.LeafReply{Outcome: replica.PeerRefused, Err: errDraining}}
 		return
 	}
+	began := time.Now()
 	if w.c.s.table.IsEvacuated(leaf.Zone) {
 		w.replies <- done{leaf: i, reply: gateway.LeafReply{Outcome: replica.PeerRefused, Err: errEvacuated}}
 		return
 	}
-	began := time.Now()
+	if w.c.s.table.Guarded(leaf.ID, began) {
+		w.replies <- done{leaf: i, reply: gateway.LeafReply{Outcome: replica.PeerRefused, Err: errCold}}
+		return
+	}
 	if w.c.s.quarantine != nil && w.c.s.quarantine.Left(w.req.Key, began) > 0 {
 		w.replies <- done{leaf: i, reply: gateway.LeafReply{Outcome: replica.PeerRefused, Err: errQuarantined}}
 		return
@@ -126,6 +130,9 @@
 // errEvacuated: this instance has heard that the leaf's zone is evacuated.
 var errEvacuated = errors.New("the availability zone is evacuated")
 
+// errCold: the leaf is cold, and gets requests from those only that are drawn for it.
+var errCold = errors.New("the leaf is cold")
+
 // errDraining: this instance has heard that the leaf takes no new work.
 var errDraining = errors.New("the leaf is draining")
 
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -69,8 +69,11 @@
 	feeds *feeds
 	// quarantine knows the requests that end leafs; nil: nothing is told of them.
 	quarantine *quarantine.Table
-	// shared is told this instance's part of the slack.
-	shared func(replica.Bursts)
+	// shared is told this instance's part of the slack, and warmers who may send requests to cold
+	// leafs.
+	shared  func(replica.Bursts)
+	warmers func(replica.Warmers)
+	warming warming
 
 	// Sent and Fallbacks count batches that went through a peer, and those that
 	// found none.
@@ -102,6 +105,14 @@
 	p.shared = told
 }
 
+// ShareWarming lets told know who may send requests to cold leafs, each tick. zones are those that
+// have instances, and sociable says that this instance is not the only one. It is called before
+// Run.
+func (p *Peers) ShareWarming(zones []string, sociable bool, told func(replica.Warmers)) {
+	p.warming = warming{zones: zones, sociable: sociable}
+	p.warmers = told
+}
+
 // ShareQuarantine lets the instances tell each other of requests that end leafs. It is called
 // before Run.
 func (p *Peers) ShareQuarantine(table *quarantine.Table) { p.quarantine = table }
@@ -215,9 +226,13 @@
 func (p *Peers) connect(now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.roles = drawRoles(p.members.Self(), p.members.Members(), func(m membership.Member) bool { return now.Before(p.avoid[m.Name]) })
+	self, members := p.members.Self(), p.members.Members()
+	p.roles = drawRoles(self, members, func(m membership.Member) bool { return now.Before(p.avoid[m.Name]) })
 	if p.shared != nil {
-		p.shared(p.slack.share(p.roles, p.members.Members(), p.self.Zone, now))
+		p.shared(p.slack.share(p.roles, members, self.Zone, now))
+	}
+	if p.warmers != nil {
+		p.warmers(p.warming.step(self, members, p.roles, now))
 	}
 	listening := make(map[string]bool)
 	for _, name := range p.follow(now) {
--- a/pkg/replica/calls.go
+++ b/pkg/replica/calls.go
@@ -71,15 +71,17 @@
 
 // Begin counts a request as in flight at the placed leaf. It returns nil when
 // other requests have taken the last of the leaf's connections since it was
-// placed, or its zone is evacuated.
+// placed, its zone is evacuated, or it is cold
+// and has got what it may.
 func (t *Table) Begin(p Placement, className string, now time.Time) *Call {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.leafs[p.Leaf.ID]
 	if r != nil {
-		if t.evacuated[r.Zone] || t.full(r, now) {
+		if t.evacuated[r.Zone] || t.full(r, now) || t.coldFull(r, now) {
 			return nil
 		}
+		t.noteCold(r, now)
 		r.begin(now)
 	}
 	return &Call{Leaf: p.Leaf, row: r, class: className, start: now}
--- a/pkg/replica/evacuation.go
+++ b/pkg/replica/evacuation.go
@@ -3,12 +3,13 @@
 import (
 	"maps"
 	"slices"
+	"time"
 )
 
 // SetEvacuated takes over whether the operator evacuates an availability zone: its leafs get no
 // new requests of any kind, whatever that costs. It reports whether that is news, and how many
 // requests are in flight there.
-func (t *Table) SetEvacuated(zone string, evacuated bool) (news bool, inFlight int) {
+func (t *Table) SetEvacuated(zone string, evacuated bool, now time.Time) (news bool, inFlight int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.evacuated[zone] == evacuated {
@@ -18,6 +19,7 @@
 		t.evacuated[zone] = true
 	} else {
 		delete(t.evacuated, zone)
+		t.assumeCold(zone, now)
 	}
 	return true, t.inFlightIn(zone)
 }
--- a/pkg/replica/listed.go
+++ b/pkg/replica/listed.go
@@ -57,6 +57,7 @@
 		return Unchanged
 	}
 	r.lapsed = false
+	r.learnCold(leaf.Cold, now)
 	change := Unchanged
 	switch {
 	case leaf.Draining && !r.Draining:
--- a/pkg/replica/placement.go
+++ b/pkg/replica/placement.go
@@ -40,7 +40,8 @@
 	NoLeaf
 	// AllDown: those listed do not accept connections.
 	AllDown
-	// AllBusy: this instance's connections to each are in use.
+	// AllBusy: this instance's connections to each are in use, or they are cold and get no more
+	// from it now.
 	AllBusy
 )
 
@@ -87,7 +88,7 @@
 			verdict = worse(verdict, AllDown)
 			continue
 		}
-		if t.full(r, now) {
+		if t.full(r, now) || t.coldFull(r, now) {
 			verdict = worse(verdict, AllBusy)
 			continue
 		}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -97,6 +97,9 @@
 	// the options say. shards are the services that are shards of queries only.
 	bursts Bursts
 	shards map[string]bool
+	// coldLimits are what cold leafs of each service may get, and warmers say from whom.
+	coldLimits map[string]ColdLimit
+	warmers    Warmers
 }
 
 // departed is what is kept of a leaf that left the list.
--- a/pkg/replica/row.go
+++ b/pkg/replica/row.go
@@ -76,6 +76,11 @@
 	room   int
 	roomAt time.Time
 
+	// coldUntil is when the leaf is warm, as it says itself or, until assumedCold, as is assumed;
+	// sent are the latest requests of this instance, where that is bounded.
+	coldUntil, assumedCold time.Time
+	sent                   []time.Time
+
 	// failures counts failed connections in a row; unreached: the last one
 	// could not be opened.
 	failures  int
@@ -88,6 +93,7 @@
 	if leaf.Cold > 0 {
 		r.slowness = coldSlowness
 	}
+	r.learnCold(leaf.Cold, now)
 	return r
 }
 
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -69,6 +69,10 @@
 	// MaxConns is how many connections each of its leafs accepts from all
 	// callers together; zero: not published.
 	MaxConns int
+	// ColdFor is how long a leaf is cold after its start, and ColdPerSecond how many requests a
+	// second it bears meanwhile; zero: that is not bounded.
+	ColdFor       time.Duration
+	ColdPerSecond float64
 	// HealthPath answers whether a leaf is well.
 	HealthPath string
 }
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -161,6 +161,13 @@
 	// SecondSlack is how many more there may be in a window, over all instances; zero:
 	// not declared.
 	SecondSlack float64 `yaml:"second_slack"`
+	// ColdFactor times what a service publishes for cold leafs, and ColdSlack more, is what a
+	// cold leaf may get in a second from all instances.
+	ColdFactor float64 `yaml:"cold_factor"`
+	ColdSlack  float64 `yaml:"cold_slack"`
+	// EvacuateMs is how soon after an availability zone is evacuated its leafs must get no new
+	// requests; zero: not declared.
+	EvacuateMs int `yaml:"evacuate_ms"`
 	// Zones are the availability zones that have instances.
 	Zones []string `yaml:"zones"`
 }
@@ -247,7 +254,7 @@
 		Log:    NodeLog{Level: "debug", LinesPerSecond: 5, Burst: 20, Buffer: 512},
 		Tick:   50,
 		Reload: NodeReload{EveryMs: 2000},
-		Bounds: NodeDeclared{ContactMs: 4000, GraceMs: 6000, ApplyMs: 3000, DrainMs: 3000, SecondRatio: 0.2, SecondWindowMs: 10000},
+		Bounds: NodeDeclared{ContactMs: 4000, GraceMs: 6000, ApplyMs: 3000, DrainMs: 3000, SecondRatio: 0.2, SecondWindowMs: 10000, ColdFactor: 1},
 	}
 }
 
@@ -318,6 +325,9 @@
 		positive("declared.drain_ms", n.Bounds.DrainMs),
 		positive("declared.second_window_ms", n.Bounds.SecondWindowMs),
 		atLeast("declared.second_slack", n.Bounds.SecondSlack, 0),
+		atLeast("declared.cold_factor", n.Bounds.ColdFactor, 0),
+		atLeast("declared.cold_slack", n.Bounds.ColdSlack, 0),
+		nonNegative("declared.evacuate_ms", n.Bounds.EvacuateMs),
 	)
 }
 
@@ -345,6 +355,15 @@
 	return Duration(min(n.Store.WatchWaitMs, within))
 }
 
+// changeMs is how soon after its publication the most urgent kind of change must have effect.
+func (n *Node) changeMs() int {
+	within := min(n.Bounds.ApplyMs, n.Bounds.DrainMs)
+	if n.Bounds.EvacuateMs > 0 {
+		within = min(within, n.Bounds.EvacuateMs)
+	}
+	return within
+}
+
 // coalescePart is the part of the time in which a change must be in force that
 // changes are collected for. The rest covers a call that times out and the one
 // after it.
@@ -352,8 +371,7 @@
 
 // Coalesce is the pause after a watch of the store that brought changes.
 func (n *Node) Coalesce() time.Duration {
-	within := coalescePart * float64(min(n.Bounds.ApplyMs, n.Bounds.DrainMs))
-	return Duration(min(n.Store.CoalesceMs, int(within)))
+	return Duration(min(n.Store.CoalesceMs, int(coalescePart*float64(n.changeMs()))))
 }
 
 // freshPart is the part of the time in which a change must be in force that news of the
@@ -363,7 +381,7 @@
 
 // FeedCycle is how often the store answers one that feeds others, at least.
 func (n *Node) FeedCycle() time.Duration {
-	return min(n.WatchWait(), Duration(int(freshPart*float64(min(n.Bounds.ApplyMs, n.Bounds.DrainMs)))))
+	return min(n.WatchWait(), Duration(int(freshPart*float64(n.changeMs()))))
 }
 
 // StartWait is how long an instance that starts waits for peers that feed it.
