The load that leafs publish is known, logged and dumped

Leafs of some services say with each reply how many requests run and wait there, how many slots they have and how long work takes on their machine now. It is decoded once at the edge into a typed value, refused and counted when it is malformed or beyond what a leaf can mean, carried by peers (whose protocol has a new version) and by the product's own backend protocol, and kept with its age. The line of a failed leaf call and the state dump show it. Nothing decides by it.

--- a/pkg/entry/leafs.go
+++ b/pkg/entry/leafs.go
@@ -71,7 +71,14 @@
 		l.stats.mismatched.Inc()
 		return gateway.LeafReply{Outcome: replica.Broken, Err: errMismatch}
 	}
-	return gateway.LeafReply{Outcome: outcomeOf(resp.Code), Status: int(resp.Code), Content: &resp}
+	reply := gateway.LeafReply{Outcome: outcomeOf(resp.Code), Status: int(resp.Code), Content: &resp}
+	if l := resp.Load; l != nil {
+		load := replica.Load{Running: l.Running, Waiting: l.Waiting, Slots: l.Slots, Pace: l.Pace}
+		if reply.LoadErr = load.Check(); reply.LoadErr == nil {
+			reply.Load = &load
+		}
+	}
+	return reply
 }
 
 // message is the request to one leaf.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -88,6 +88,10 @@
 	Content Content
 	// Err says what went wrong, for the log.
 	Err error
+	// Load is what the leaf said of itself; nil: nothing. LoadErr says why that could not be
+	// decoded.
+	Load    *replica.Load
+	LoadErr error
 }
 
 // ErrNoWorker says that a leaf call was not sent because as many as there may be
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -182,6 +182,7 @@
 
 // ended records the outcome of a leaf call that took some time.
 func (g *Gateway) ended(call LeafCall, entry *replica.Call, reply LeafReply, took time.Duration, now time.Time) {
+	g.takeLoad(call, entry, reply, now)
 	turn := g.table.EndAfter(entry, reply.Outcome, took, now)
 	g.stats.leaf(reply.Outcome, took)
 	if reply.Outcome == replica.Ended {
@@ -195,6 +196,7 @@
 		g.log.Decision(event, call.Request.about(entry.Class(), oplog.Fields{
 			"leaf": call.Leaf.ID, "service": call.Service, "leaf_zone": call.Leaf.Zone,
 			"outcome": reply.Outcome.String(), "status": reply.Status, "took_ms": took.Milliseconds(), "error": errText(reply.Err),
+			"load": loadText(reply.Load),
 		}))
 	}
 	switch turn {
@@ -205,6 +207,24 @@
 	}
 }
 
+// takeLoad takes over what a leaf has said of itself.
+func (g *Gateway) takeLoad(call LeafCall, entry *replica.Call, reply LeafReply, now time.Time) {
+	switch {
+	case reply.LoadErr != nil:
+		g.stats.malformedLoad()
+		g.log.Decision("leaf_load_malformed", oplog.Fields{"leaf": call.Leaf.ID, "service": call.Service, "error": reply.LoadErr.Error()})
+	case reply.Load != nil:
+		g.table.TakeLoad(entry, *reply.Load, now)
+	}
+}
+
+func loadText(load *replica.Load) string {
+	if load == nil {
+		return ""
+	}
+	return load.String()
+}
+
 func errText(err error) string {
 	if err == nil {
 		return ""
--- a/pkg/gateway/stats.go
+++ b/pkg/gateway/stats.go
@@ -57,6 +57,10 @@
 	}
 }
 
+func (s *Stats) malformedLoad() {
+	s.set.GetOrCreateCounter(`gateway_leaf_loads_malformed_total`).Inc()
+}
+
 // emptied records how long after an evacuation was heard of the last request in that zone ended.
 func (s *Stats) emptied(took time.Duration) {
 	s.set.GetOrCreateHistogram(`gateway_evacuation_seconds`).Update(took.Seconds())
--- a/pkg/peers/batches.go
+++ b/pkg/peers/batches.go
@@ -156,7 +156,7 @@
 	for _, d := range ready {
 		p := part{
 			Leaf: uint16(d.leaf), Outcome: uint8(d.reply.Outcome), Status: uint16(d.reply.Status),
-			TookUs: uint32(d.took.Microseconds()),
+			TookUs: uint32(d.took.Microseconds()), Load: loadFrame(d.reply.Load),
 		}
 		if d.reply.Outcome == replica.Answered {
 			proof, body := w.c.s.codec.Part(d.reply)
--- a/pkg/peers/conn.go
+++ b/pkg/peers/conn.go
@@ -272,6 +272,7 @@
 			Call: int(part.Leaf), Took: time.Duration(part.TookUs) * time.Microsecond,
 			Reply: gateway.LeafReply{Outcome: replica.Outcome(part.Outcome), Status: int(part.Status)},
 		}
+		r.Reply.Load, r.Reply.LoadErr = loadOf(part.Load)
 		if r.Reply.Outcome == replica.Answered {
 			r.Reply.Content = codec.Reply(part.Proof, body)
 			body = nil
--- a/pkg/peers/frames.go
+++ b/pkg/peers/frames.go
@@ -17,7 +17,7 @@
 
 // version is the protocol's. A peer of another version is not spoken to; its leafs are
 // asked directly until it is replaced.
-const version = 3
+const version = 4
 
 // maxFrame bounds a frame in bytes: the largest request body and the parts of a few
 // hundred shards.
@@ -216,6 +216,32 @@
 	Status  uint16
 	TookUs  uint32
 	Proof   string
+	// Load is what the leaf said of itself: requests running and waiting, slots, and the pace in
+	// percent (0: not said); empty: nothing.
+	Load []uint32
+}
+
+// loadFigures is how many figures a load has in a frame.
+const loadFigures = 4
+
+// loadFrame encodes what a leaf said of itself.
+func loadFrame(l *replica.Load) []uint32 {
+	if l == nil {
+		return nil
+	}
+	return []uint32{uint32(l.Running), uint32(l.Waiting), uint32(l.Slots), uint32(100 * l.Pace)}
+}
+
+// loadOf is the inverse of loadFrame.
+func loadOf(f []uint32) (*replica.Load, error) {
+	if len(f) == 0 {
+		return nil, nil
+	}
+	if len(f) != loadFigures {
+		return nil, fmt.Errorf("load of %d figures", len(f))
+	}
+	l := &replica.Load{Running: int(f[0]), Waiting: int(f[1]), Slots: int(f[2]), Pace: float64(f[3]) / 100}
+	return l, l.Check()
 }
 
 // Request is a caller's request as it goes to leafs.
--- a/pkg/replica/dump.go
+++ b/pkg/replica/dump.go
@@ -19,6 +19,11 @@
 	Refusals float64  `json:"refusals"`
 	Failures int      `json:"failures"`
 	SilentMs int64    `json:"silent_ms"`
+	// ColdMs is how much longer the leaf counts as cold.
+	ColdMs int64 `json:"cold_ms,omitempty"`
+	// Load is what the leaf has said of itself, LoadAgeMs ago.
+	Load      string `json:"load,omitempty"`
+	LoadAgeMs int64  `json:"load_age_ms,omitempty"`
 }
 
 // Dump copies the rows, by service and ID.
@@ -27,11 +32,16 @@
 	defer t.mu.Unlock()
 	out := make([]LeafState, 0, len(t.leafs))
 	for _, r := range t.leafs {
-		out = append(out, LeafState{
+		state := LeafState{
 			ID: r.ID, Services: r.Services, Zone: r.Zone, Addr: r.Addr, Draining: r.Draining, Lapsed: r.lapsed,
 			InFlight: len(r.starts), Slowness: r.slownessNow(now), Refusals: r.refusalsNow(now),
 			Failures: r.failures, SilentMs: r.silentFor(now).Milliseconds(),
-		})
+			ColdMs: max(r.coldUntil.Sub(now), 0).Milliseconds(),
+		}
+		if !r.loadAt.IsZero() {
+			state.Load, state.LoadAgeMs = r.load.String(), now.Sub(r.loadAt).Milliseconds()
+		}
+		out = append(out, state)
 	}
 	slices.SortFunc(out, func(a, b LeafState) int {
 		return cmp.Or(slices.Compare(a.Services, b.Services), cmp.Compare(a.ID, b.ID))
--- a/pkg/replica/row.go
+++ b/pkg/replica/row.go
@@ -76,6 +76,10 @@
 	room   int
 	roomAt time.Time
 
+	// load is what the leaf has said of itself at loadAt; zero: nothing.
+	load   Load
+	loadAt time.Time
+
 	// coldUntil is when the leaf is warm, as it says itself or, until assumedCold, as is assumed;
 	// sent are the latest requests of this instance, where that is bounded.
 	coldUntil, assumedCold time.Time
--- a/pkg/standin/backend/leaf.go
+++ b/pkg/standin/backend/leaf.go
@@ -39,6 +39,7 @@
 	if resp.Snapshot == 0 {
 		resp.Snapshot = req.Snapshot
 	}
+	resp.Load = &wire.Load{Running: len(b.slots), Waiting: int(b.waiting.Load()), Slots: cap(b.slots)}
 	c.JSON(200, b.cross(resp))
 }
 
@@ -186,6 +187,8 @@
 }
 
 func (b *Server) acquire(ctx context.Context) bool {
+	b.waiting.Add(1)
+	defer b.waiting.Add(-1)
 	t := time.NewTimer(shedWait)
 	defer t.Stop()
 	select {
--- a/pkg/standin/backend/server.go
+++ b/pkg/standin/backend/server.go
@@ -12,6 +12,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -45,6 +46,7 @@
 	log     *logrus.Entry
 	metrics *metrics.Set
 	slots   chan struct{}
+	waiting atomic.Int64
 	started time.Time
 	report  func(wire.Instance)
 	onKill  func()
