Routes that are confined to regions, and evacuations in the project's own installation

A route may name the regions whose leafs it may reach. Placement passes over the others, for first and second requests; a zone whose region the settings do not name is no home. With one region nothing changes. The operator of an installation of the project's own evacuates a zone by a patch, or with yokectl evacuate ZONE [--readmit]; entry instances follow it like the rest of the configuration, and dump it. The settings template serves deployments with and without the bounds of evacuations and cold leafs; its test fills both in (it stands for the earlier one, as strictly).

--- a/cmd/yokectl/main.go
+++ b/cmd/yokectl/main.go
@@ -18,6 +18,7 @@
 		cli.BackendCmd(),
 		cli.PlatformCmd(),
 		cli.PatchCmd(),
+		cli.EvacuateCmd(),
 		cli.DumpCmd(),
 		cli.ControlCmd(),
 		cli.SearchCmd(),
--- /dev/null
+++ b/pkg/cli/evacuate_test.go
@@ -0,0 +1,35 @@
+package cli
+
+import (
+	"bytes"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/indigoyoke/indigoyoke/pkg/demo"
+)
+
+// TestEvacuateCommand guards against an operator's command that changes nothing, or hides that it
+// was refused.
+func TestEvacuateCommand(t *testing.T) {
+	c, err := demo.StartCluster(demo.Lipovec, io.Discard)
+	require.NoError(t, err)
+	t.Cleanup(c.Stop)
+	run := func(args ...string) error {
+		cmd := EvacuateCmd()
+		cmd.SetOut(&bytes.Buffer{})
+		cmd.SetErr(&bytes.Buffer{})
+		cmd.SetArgs(append(args, "--platform", c.Platform.Addr()))
+		return cmd.Execute()
+	}
+	zone := c.Layout.Backends[0].Zone
+	require.NoError(t, run(zone))
+	require.NoError(t, c.WaitVersion(2, 5*time.Second))
+	require.Equal(t, []string{zone}, c.Platform.Current().Evacuated)
+	require.Error(t, run("no-such-zone"))
+	require.NoError(t, run(zone, "--readmit"))
+	require.NoError(t, c.WaitVersion(3, 5*time.Second))
+	require.Empty(t, c.Platform.Current().Evacuated)
+}
--- a/pkg/cli/node_test.go
+++ b/pkg/cli/node_test.go
@@ -4,11 +4,14 @@
 	"bytes"
 	"os"
 	"path/filepath"
+	"regexp"
 	"strings"
 	"testing"
 
 	"github.com/spf13/cobra"
 	"github.com/stretchr/testify/require"
+
+	"github.com/indigoyoke/indigoyoke/pkg/settings"
 )
 
 // execute runs a command with arguments and returns what it printed.
@@ -45,22 +48,52 @@
 	require.ErrorContains(t, err, "no line names")
 }
 
-// The template that the platform fills in gives settings that check.
-func TestDeployTemplateChecks(t *testing.T) {
+// section matches a part of the template that is filled in where the platform has a value.
+var section = regexp.MustCompile(`(?s)\{\{#bounds\.(\w+)\}\}(.*?)\{\{/bounds\.\w+\}\}`)
+
+// fillIn fills the template in as the platform does, with the given bounds beside those that every
+// deployment has.
+func fillIn(t *testing.T, bounds map[string]string) string {
 	raw, err := os.ReadFile("../../deploy/node.yaml.tmpl")
 	require.NoError(t, err)
+	text := section.ReplaceAllStringFunc(string(raw), func(part string) string {
+		m := section.FindStringSubmatch(part)
+		value, ok := bounds[m[1]]
+		if !ok {
+			return ""
+		}
+		return strings.ReplaceAll(m[2], "{{.}}", value)
+	})
 	filled := strings.NewReplacer(
 		"{{nodeName|json}}", `"front-a-1"`, "{{zone|json}}", `"a"`, "{{listenAddrs.front|json}}", `"127.0.0.1:1"`,
 		"{{listenAddrs.readiness|json}}", `"127.0.0.1:2"`, "{{listenAddrs.control|json}}", `"127.0.0.1:3"`,
 		"{{platform.address|json}}", `"127.0.0.1:4"`, "{{ip}}", "127.0.0.1", "{{internalPorts.0}}", "7380", "{{seeds|json}}", `["10.1.0.9:8106","10.2.0.21:8106"]`, "{{bounds.graceS}}", "6",
 		"{{bounds.contactMs}}", "4000", "{{bounds.configApplyMs}}", "3000", "{{bounds.drainMs}}", "3000", "{{bounds.retryBudgetRatio}}", "0.2", "{{bounds.budgetWindowS}}", "10",
 		"{{limits.cpuShare}}", "0.4", "{{bounds.budgetSlack}}", "56", `{{#zones}}"{{@}}"{{,}}{{/zones}}`, `"a","b"`, "{{bootstrap}}", "true",
-	).Replace(string(raw))
+		`{{#zones}}"{{@}}": {{.|json}}{{,}}{{/zones}}`, `"a": "north","b": "north"`,
+	).Replace(text)
 	require.NotContains(t, filled, "{{")
-	path := filepath.Join(t.TempDir(), "node.yaml")
-	require.NoError(t, os.WriteFile(path, []byte(filled), 0o644))
-	_, err = execute(CheckConfigCmd(), "", path)
-	require.NoError(t, err)
+	return filled
+}
+
+// TestDeployTemplateChecks guards against a template that does not start where a deployment
+// declares more bounds, or fewer.
+func TestDeployTemplateChecks(t *testing.T) {
+	declared := map[string]string{"coldOverage": "1.5", "coldSlack": "5", "evacuateMs": "5000"}
+	for name, bounds := range map[string]map[string]string{"few bounds": nil, "all bounds": declared} {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "node.yaml")
+			require.NoError(t, os.WriteFile(path, []byte(fillIn(t, bounds)), 0o644))
+			_, err := execute(CheckConfigCmd(), "", path)
+			require.NoError(t, err)
+			set, err := settings.LoadNode(path)
+			require.NoError(t, err)
+			require.Equal(t, map[string]string{"a": "north", "b": "north"}, set.Bounds.Regions)
+			if bounds != nil {
+				require.Equal(t, []any{1.5, 5.0, 5000}, []any{set.Bounds.ColdFactor, set.Bounds.ColdSlack, set.Bounds.EvacuateMs})
+			}
+		})
+	}
 }
 
 func TestVersionIsKnown(t *testing.T) { require.NotEmpty(t, Version()) }
--- a/pkg/cli/ops.go
+++ b/pkg/cli/ops.go
@@ -12,6 +12,7 @@
 	"gopkg.in/yaml.v3"
 
 	"github.com/indigoyoke/indigoyoke/pkg/caller"
+	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
@@ -43,21 +44,57 @@
 			if err != nil {
 				return err
 			}
-			var res wire.PatchResult
-			_, err = c.Do(context.Background(), "POST", "http://"+addr+wire.PathPatch, nil, p, &res, time.Now().Add(opTimeout))
+			return submit(cmd, c, addr, p)
+		},
+	}
+	// --platform is the configuration service's host:port; --file the patch.
+	cmd.Flags().StringVar(&addr, "platform", "127.0.0.1:17100", "configuration service host:port")
+	cmd.Flags().StringVar(&path, "file", "patch.yaml", "patch file (YAML)")
+	return cmd
+}
+
+// submit sends a patch to the configuration service and prints what became of it.
+func submit(cmd *cobra.Command, c *service.Client, addr string, p topology.Patch) error {
+	var res wire.PatchResult
+	_, err := c.Do(context.Background(), "POST", "http://"+addr+wire.PathPatch, nil, p, &res, time.Now().Add(opTimeout))
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(cmd.OutOrStdout(), "%s version=%d %s\n", res.Code, res.Version, res.Message)
+	if res.Code != errcode.OK {
+		return fmt.Errorf("patch refused: %s", res.Code)
+	}
+	return nil
+}
+
+// EvacuateCmd keeps new requests from the backend servers of an availability zone, or takes that
+// back.
+func EvacuateCmd() *cobra.Command {
+	var addr string
+	var readmit bool
+	cmd := &cobra.Command{
+		Use:   "evacuate ZONE",
+		Short: "Keep new requests from the backend servers of an availability zone, until it is readmitted",
+		Args:  cobra.ExactArgs(1),
+		RunE: func(cmd *cobra.Command, args []string) error {
+			c, err := opClient()
 			if err != nil {
 				return err
 			}
-			fmt.Fprintf(cmd.OutOrStdout(), "%s version=%d %s\n", res.Code, res.Version, res.Message)
-			if res.Code.String() != "IY0000" {
-				return fmt.Errorf("patch refused: %s", res.Code)
+			var current wire.ConfigReply
+			if _, err := c.Do(context.Background(), "GET", "http://"+addr+wire.PathConfig, nil, nil, &current, time.Now().Add(opTimeout)); err != nil {
+				return err
 			}
-			return nil
+			op := topology.Op{Kind: topology.OpEvacuate, Zone: args[0]}
+			if readmit {
+				op.Kind = topology.OpReadmit
+			}
+			return submit(cmd, c, addr, topology.Patch{BaseVersion: current.Version, Ops: []topology.Op{op}})
 		},
 	}
-	// --platform is the configuration service's host:port; --file the patch.
+	// --platform is the configuration service's host:port; --readmit ends the evacuation.
 	cmd.Flags().StringVar(&addr, "platform", "127.0.0.1:17100", "configuration service host:port")
-	cmd.Flags().StringVar(&path, "file", "patch.yaml", "patch file (YAML)")
+	cmd.Flags().BoolVar(&readmit, "readmit", false, "take the zone back")
 	return cmd
 }
 
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -184,6 +184,7 @@
 		ConfigVersion: e.watcher.Version(),
 		InFlight:      e.gateway.InFlight(),
 		Backends:      e.table.Dump(time.Now()),
+		Evacuated:     e.table.Evacuated(),
 		Quarantine:    e.gateway.Quarantine().Dump(time.Now()),
 	}
 }
@@ -197,6 +198,8 @@
 	ConfigVersion int64               `json:"config_version"`
 	InFlight      int64               `json:"in_flight"`
 	Backends      []replica.LeafState `json:"backends"`
+	// Evacuated are the availability zones whose backend servers are to get nothing.
+	Evacuated []string `json:"evacuated"`
 	// Quarantine lists the requests that are suspected of ending backend servers, or known to.
 	Quarantine []quarantine.State `json:"quarantine"`
 }
--- a/pkg/entry/plan.go
+++ b/pkg/entry/plan.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"slices"
 	"time"
 
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
@@ -108,6 +109,14 @@
 			e.table.Remove(name, now)
 		}
 	}
+	for _, zone := range e.table.Evacuated() {
+		if !slices.Contains(cfg.Evacuated, zone) {
+			e.gateway.SetEvacuated(zone, false)
+		}
+	}
+	for _, zone := range cfg.Evacuated {
+		e.gateway.SetEvacuated(zone, true)
+	}
 	e.plan.Store(p)
 	e.log.WithField("version", cfg.Version).Info("tables follow configuration")
 }
--- a/pkg/gateway/config.go
+++ b/pkg/gateway/config.go
@@ -24,6 +24,7 @@
 	}
 	g.table.SetMaxConns(limits)
 	g.table.SetColdLimits(cold)
+	g.table.SetHomes(homes(c))
 	g.table.SetShards(onlyShards(c))
 	g.splitter.Reset()
 	if g.config.Swap(c) == nil {
@@ -38,6 +39,18 @@
 	return replica.ColdLimit{PerSecond: s.ColdPerSecond*opts.ColdFactor + opts.ColdSlack, For: s.ColdFor}
 }
 
+// homes are the regions to which the routes of a configuration are confined, by the route's name.
+func homes(c *routing.Config) map[string][]string {
+	out := make(map[string][]string)
+	c.Routes(func(r *routing.Route) bool {
+		if len(r.Homes) > 0 {
+			out[r.Name] = r.Homes
+		}
+		return true
+	})
+	return out
+}
+
 // onlyShards are the services of a configuration that are asked as shards of queries and
 // not alone.
 func onlyShards(c *routing.Config) map[string]bool {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -110,6 +110,7 @@
 func tableOptions(set *settings.Node) replica.Options {
 	return replica.Options{
 		Zone:            set.Zone,
+		Regions:         set.Bounds.Regions,
 		LapseGrace:      settings.Duration(set.Leafs.LapseGraceMs),
 		ConnsPerLeaf:    set.Leafs.ConnsPerLeaf,
 		Instances:       set.Leafs.Instances,
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -148,6 +148,14 @@
 // isolated reports whether the peers that run this instance's queries are isolated.
 func (p *peering) isolated(now time.Time) bool { return p != nil && p.agent.Isolated(now) }
 
+// Handed is how many queries peers were asked to run.
+func (n *Node) Handed() int64 {
+	if n.peering == nil {
+		return 0
+	}
+	return n.peering.agent.Handed.Load()
+}
+
 // connected lists the peers that queries may go through.
 func (p *peering) connected() []string {
 	if p == nil {
@@ -173,7 +181,7 @@
 	})
 	gauge("node_batches_sent", func() float64 { return float64(n.peering.agent.Sent.Load()) })
 	gauge("node_batches_direct", func() float64 { return float64(n.peering.agent.Fallbacks.Load()) })
-	gauge("node_queries_handed", func() float64 { return float64(n.peering.agent.Handed.Load()) })
+	gauge("node_queries_handed", func() float64 { return float64(n.Handed()) })
 	gauge("node_queries_declined", func() float64 { return float64(n.peering.agent.Declined.Load()) })
 	gauge("node_queries_taken_late", func() float64 { return float64(n.peering.agent.TakenLate.Load()) })
 	gauge("node_queries_gathered", func() float64 { return float64(n.peering.server.Gathered.Load()) })
--- a/pkg/replica/placement.go
+++ b/pkg/replica/placement.go
@@ -81,7 +81,7 @@
 	bestCost := time.Duration(0)
 	s := t.service(serviceName)
 	for _, r := range s.leafs {
-		if !t.open(r) || !may(r.ID) {
+		if !t.open(r) || !t.atHome(className, r.Zone) || !may(r.ID) {
 			continue
 		}
 		if !t.reachable(r, now) {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -42,6 +42,8 @@
 type Options struct {
 	// Zone is this instance's own availability zone.
 	Zone string
+	// Regions are those of the availability zones.
+	Regions map[string]string
 	// LapseGrace is how long after the store's return a leaf that vanished
 	// from the list is still used.
 	LapseGrace time.Duration
@@ -97,6 +99,8 @@
 	// the options say. shards are the services that are shards of queries only.
 	bursts Bursts
 	shards map[string]bool
+	// homes are the regions whose leafs the requests of a class may go to; none: all.
+	homes map[string][]string
 	// coldLimits are what cold leafs of each service may get, and warmers say from whom.
 	coldLimits map[string]ColdLimit
 	warmers    Warmers
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -55,6 +55,8 @@
 	MaxAttempts int
 	// Priority ranks routes; 0 is the most urgent.
 	Priority int
+	// Homes are the regions whose leafs may be asked; none: all.
+	Homes []string
 }
 
 // Target is one service of a route and its share of the requests.
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -168,6 +168,8 @@
 	// EvacuateMs is how soon after an availability zone is evacuated its leafs must get no new
 	// requests; zero: not declared.
 	EvacuateMs int `yaml:"evacuate_ms"`
+	// Regions are the regions of the availability zones; a zone without one is in none.
+	Regions map[string]string `yaml:"regions"`
 	// Zones are the availability zones that have instances.
 	Zones []string `yaml:"zones"`
 }
--- a/pkg/topology/patch.go
+++ b/pkg/topology/patch.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 )
@@ -19,6 +20,10 @@
 	OpPutClient OpKind = "put_client"
 	// OpRemoveClient removes a client application.
 	OpRemoveClient OpKind = "remove_client"
+	// OpEvacuate keeps new requests from the backend servers of an availability zone, until
+	// OpReadmit takes it back. Both name no deployment: zones are the installation's.
+	OpEvacuate OpKind = "evacuate"
+	OpReadmit  OpKind = "readmit"
 )
 
 // Op is one operation of a patch. Which fields are read depends on Kind.
@@ -31,6 +36,7 @@
 	Leafs      []string   `json:"leafs,omitempty" yaml:"leafs,omitempty"`
 	Client     *ClientApp `json:"client,omitempty" yaml:"client,omitempty"`
 	ClientID   string     `json:"client_id,omitempty" yaml:"client_id,omitempty"`
+	Zone       string     `json:"zone,omitempty" yaml:"zone,omitempty"`
 }
 
 // Patch is a list of operations made against configuration version
@@ -75,6 +81,15 @@
 }
 
 func (c *Config) apply(op Op) error {
+	switch op.Kind {
+	case OpEvacuate:
+		c.readmit(op.Zone)
+		c.Evacuated = append(c.Evacuated, op.Zone)
+		return nil
+	case OpReadmit:
+		c.readmit(op.Zone)
+		return nil
+	}
 	d, ok := c.Deployment(op.Deployment)
 	if !ok {
 		return errcode.New(errcode.PatchInvalid, "unknown deployment %q", op.Deployment)
@@ -110,6 +125,11 @@
 	return nil
 }
 
+// readmit takes an availability zone off the evacuated ones.
+func (c *Config) readmit(zone string) {
+	c.Evacuated = slices.DeleteFunc(c.Evacuated, func(z string) bool { return z == zone })
+}
+
 func (d *Deployment) removeClient(id string) {
 	kept := d.Clients[:0]
 	for _, a := range d.Clients {
--- a/pkg/topology/topology.go
+++ b/pkg/topology/topology.go
@@ -18,6 +18,8 @@
 	Version     int64           `json:"version" yaml:"version"`
 	Deployments []Deployment    `json:"deployments" yaml:"deployments"`
 	Backends    []BackendServer `json:"backends" yaml:"backends"`
+	// Evacuated are availability zones whose backend servers are to get no new requests.
+	Evacuated []string `json:"evacuated,omitempty" yaml:"evacuated,omitempty"`
 }
 
 // Deployment is a brand deployment: one storefront's indexes and the client
@@ -123,6 +125,11 @@
 		}
 		backends[b.Name] = true
 	}
+	for _, zone := range c.Evacuated {
+		if !slices.Contains(c.Zones(), zone) {
+			return errcode.New(errcode.PatchInvalid, "evacuated zone %q has no backend server", zone)
+		}
+	}
 	seen := map[string]bool{}
 	for _, d := range c.Deployments {
 		if seen[d.Name] {
