Large files are split by job, comments tell reasons and no tuning, one predicate for what no leaf got

Nothing changes but for where things stand: quarantine's records and dump, the gateway's leaf calls and lines of queries, the node's defaults, checks and derived times, the hop of queries, a query's state, the members' probes, a peer's connection, what discovery tells. Outcomes that prove that no leaf got a request are asked for in one place (replica.Outcome.Unreached), where two lists stood.

--- a/pkg/explain/explain.go
+++ b/pkg/explain/explain.go
@@ -17,8 +17,7 @@
 )
 
 // contextBefore is how far back changes of belief are told: the longest time
-// that a leaf is left alone after a failure, and the 2 s in which a leaf's
-// slowness is half forgotten.
+// that a leaf is left alone after a failure, and in which its slowness is half forgotten.
 const contextBefore = 4 * time.Second
 
 // line is one parsed log line.
--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -201,7 +201,7 @@
 //
 // Where one of a shard's leafs sheds, a refused request is made up for by the other one
 // within milliseconds, as long as there is budget. An estimate that leaves this out turns
-// away a third of the callers that could be served (replayed: 252 of 771).
+// away callers that could be served.
 func (q *Query) secondMissing(first placed, left time.Duration, now time.Time) float64 {
 	service := q.route.Shards[first.shard]
 	if q.route.MaxAttempts < 2 || !q.table.HasSecond(service, now) {
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -45,7 +45,7 @@
 
 // retryStep is how soon a shard whose second request found no budget or no
 // leaf is looked at again. It is a part of a leaf's pause that is small
-// against the target latencies (60 ms and up).
+// against the target latencies.
 const retryStep = 15 * time.Millisecond
 
 // heldStep is how soon a query that is held looks for room again: a part of the time
--- a/pkg/fanout/trial.go
+++ b/pkg/fanout/trial.go
@@ -66,7 +66,7 @@
 	case outcome == replica.Answered:
 		q.trying = false
 		return q.sendRest(now)
-	case outcome == replica.NotSent || outcome == replica.Misdirected || outcome == replica.PeerRefused:
+	case outcome.Unreached():
 		if len(q.shards[i].tried) < q.route.MaxAttempts {
 			return q.sendTrial(i, now)
 		}
--- a/pkg/gateway/batches.go
+++ b/pkg/gateway/batches.go
@@ -45,7 +45,7 @@
 const (
 	// flushAtTypical is when the first replies of a batch are wanted, in multiples
 	// of the typical reply time: half are in by then. Later ones save a few bytes and keep
-	// the caller from seeing which leafs are free (1.4: 2 % fewer bytes, 0.002 of worth).
+	// the caller from seeing which leafs are free.
 	flushAtTypical = 1.0
 	// stepAtTypical is how long further replies are collected.
 	stepAtTypical = 0.15
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -171,67 +171,6 @@
 	return ctx
 }
 
-// do sends one leaf call and records its outcome.
-func (g *Gateway) do(ctx context.Context, call LeafCall, entry *replica.Call) LeafReply {
-	started := time.Now()
-	reply := g.leafs.Do(ctx, call)
-	now := time.Now()
-	g.ended(call, entry, reply, now.Sub(started), now)
-	return reply
-}
-
-// ended records the outcome of a leaf call that took some time.
-func (g *Gateway) ended(call LeafCall, entry *replica.Call, reply LeafReply, took time.Duration, now time.Time) {
-	g.takeLoad(call, entry, reply, now)
-	turn := g.table.EndAfter(entry, reply.Outcome, took, now)
-	g.stats.leaf(reply.Outcome, took)
-	if reply.Outcome == replica.Ended {
-		g.leafEnded(call, entry, now)
-	}
-	if reply.Outcome != replica.Answered && reply.Outcome != replica.Abandoned {
-		event := "leaf_call_failed"
-		if reply.Outcome == replica.Ended {
-			event = "leaf_ended" // A budget of lines of its own: rare, and of weight.
-		}
-		g.log.Decision(event, call.Request.about(entry.Class(), oplog.Fields{
-			"leaf": call.Leaf.ID, "service": call.Service, "leaf_zone": call.Leaf.Zone,
-			"outcome": reply.Outcome.String(), "status": reply.Status, "took_ms": took.Milliseconds(), "error": errText(reply.Err),
-			"load": loadText(reply.Load),
-		}))
-	}
-	switch turn {
-	case replica.WentDown:
-		g.log.State("leaf_down", oplog.Fields{"leaf": call.Leaf.ID, "service": call.Service, "leaf_zone": call.Leaf.Zone, "error": errText(reply.Err)})
-	case replica.CameBack:
-		g.log.State("leaf_up", oplog.Fields{"leaf": call.Leaf.ID, "service": call.Service, "leaf_zone": call.Leaf.Zone})
-	}
-}
-
-// takeLoad takes over what a leaf has said of itself.
-func (g *Gateway) takeLoad(call LeafCall, entry *replica.Call, reply LeafReply, now time.Time) {
-	switch {
-	case reply.LoadErr != nil:
-		g.stats.malformedLoad()
-		g.log.Decision("leaf_load_malformed", oplog.Fields{"leaf": call.Leaf.ID, "service": call.Service, "error": reply.LoadErr.Error()})
-	case reply.Load != nil:
-		g.table.TakeLoad(entry, *reply.Load, now)
-	}
-}
-
-func loadText(load *replica.Load) string {
-	if load == nil {
-		return ""
-	}
-	return load.String()
-}
-
-func errText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
-
 // wait runs the query until its answer can be given.
 func (r *gathering) wait() Answer {
 	timer := time.NewTimer(0)
@@ -374,32 +313,3 @@
 	r.logLeftOut("query_failed", a.Code)
 	return a
 }
-
-// logAsked records which leafs were asked for the query, where that is not told elsewhere: its
-// caller has left, or another instance was to run it or may be running it.
-func (r *gathering) logAsked() {
-	asked := make(map[string][]string)
-	for i, service := range r.route.Shards {
-		if leafs := r.query.Asked(i); len(leafs) > 0 {
-			asked[service] = leafs
-		}
-	}
-	r.g.log.Decision("query_asked", r.req.about(r.route.Name, oplog.Fields{
-		"asked": asked, "max_attempts": r.route.MaxAttempts, "after_ms": time.Since(r.req.Arrived).Milliseconds(),
-	}))
-}
-
-// logLeftOut records which shards an answer lacks, and why.
-func (r *gathering) logLeftOut(event string, code errcode.Code) {
-	left := make(map[string]string)
-	for i, service := range r.route.Shards {
-		if lack := r.query.Lack(i); lack != fanout.Covered {
-			left[service] = lack.String()
-		}
-	}
-	r.g.log.Decision(event, r.req.about(r.route.Name, oplog.Fields{
-		"code":    code.String(),
-		"covered": r.query.Covered(), "needed": r.query.Need(), "shards": len(r.route.Shards),
-		"missing": left, "after_ms": time.Since(r.req.Arrived).Milliseconds(), "config_version": r.g.version(),
-	}))
-}
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -47,12 +47,12 @@
 // processor time the question whether anything listens is answered too late, and a request that
 // ends leafs would be tried again and again.
 func trialOf(outcome replica.Outcome) quarantine.Trial {
-	switch outcome {
-	case replica.Answered:
+	switch {
+	case outcome == replica.Answered:
 		return quarantine.Answered
-	case replica.Ended, replica.Broken, replica.Crowded:
+	case outcome == replica.Ended || outcome == replica.Broken || outcome == replica.Crowded:
 		return quarantine.LeafEnded
-	case replica.NotSent, replica.Misdirected, replica.PeerRefused:
+	case outcome.Unreached():
 		return quarantine.Unsent
 	}
 	return quarantine.Unresolved
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -80,9 +80,8 @@
 	Updates, Page int
 }
 
-// Defaults are the figures used where nothing else is set. A ping a second costs about
-// 1 KB a second whatever the number of members; a dead member is out of use after about
-// 4 s with ten members.
+// Defaults are the figures used where nothing else is set. What a member sends in a second does
+// not grow with the number of members.
 func Defaults() Options {
 	return Options{
 		ProbeEvery: time.Second, ProbeTimeout: 300 * time.Millisecond, Helpers: 3,
@@ -183,8 +182,7 @@
 	return out
 }
 
-// leaveTold is how many members a leaving one tells itself; the others hear of it from
-// those, within 1 to 2 s (30 members, six told).
+// leaveTold is how many members a leaving one tells itself; the others hear of it from those.
 const leaveTold = 64
 
 // Leave makes this instance say that it leaves.
--- a/pkg/membership/protocol.go
+++ b/pkg/membership/protocol.go
@@ -137,7 +137,7 @@
 // by name.
 //
 // An instance needs those of its own zone first: they run its queries. Parts drawn at
-// random show the last members of a large fleet late (300 members: after 25 s).
+// random show the last members of a large fleet late.
 func (s *State) list(to Member, after string, knows int) []Envelope {
 	var near, far []Member
 	for _, m := range s.Members() {
@@ -176,22 +176,6 @@
 	return append(out, s.startProbe(now)...)
 }
 
-// forgive drops the ping under way after a pause of this process.
-//
-// A process that stood still finds its ping unanswered for seconds. Taken at face
-// value it would suspect a member that is well, each time it wakes.
-func (s *State) forgive(now time.Time) {
-	if now.Sub(s.tickedAt) > s.opts.ProbeTimeout {
-		s.probe = nil
-		for _, m := range s.members {
-			if m.Status == Suspect {
-				m.since = now
-			}
-		}
-	}
-	s.tickedAt = now
-}
-
 const (
 	// joinFast is how often an instance that knows fewer members than others asks again.
 	joinFast = 200 * time.Millisecond
@@ -261,81 +245,3 @@
 	}
 	return []string{addrs[s.rng.IntN(len(addrs))]}
 }
-
-// startProbe pings the next member of the round.
-func (s *State) startProbe(now time.Time) []Envelope {
-	s.probedAt = now
-	target := s.nextTarget()
-	if target == nil {
-		return nil
-	}
-	s.probe = &probe{target: target.Name, seq: s.next(), sentAt: now}
-	return []Envelope{s.envelope(target.Addr, Message{Kind: Ping, Seq: s.probe.seq})}
-}
-
-// nextTarget is the next member in use, in a shuffled round: each is pinged once a
-// round, so that no dead one is missed for long.
-func (s *State) nextTarget() *member {
-	for range 2 {
-		for len(s.order) > 0 {
-			name := s.order[len(s.order)-1]
-			s.order = s.order[:len(s.order)-1]
-			if m := s.members[name]; m != nil && (m.Status == Alive || m.Status == Suspect) {
-				return m
-			}
-		}
-		for _, m := range s.pick(len(s.members), "", Alive, Suspect) {
-			s.order = append(s.order, m.Name)
-		}
-	}
-	return nil
-}
-
-// checkProbe asks others, and then suspects, a member that does not answer.
-func (s *State) checkProbe(now time.Time) []Envelope {
-	if s.probe == nil {
-		return nil
-	}
-	target := s.members[s.probe.target]
-	waited := now.Sub(s.probe.sentAt)
-	switch {
-	case target == nil:
-		s.probe = nil
-	case waited >= s.opts.ProbeEvery-s.opts.ProbeTimeout/2:
-		s.probe = nil
-		if target.Status == Alive {
-			m := target.Member
-			m.Status = Suspect
-			s.take(m, now)
-		}
-	case waited >= s.opts.ProbeTimeout && !s.probe.indirect:
-		s.probe.indirect = true
-		var out []Envelope
-		for _, helper := range s.pick(s.opts.Helpers, target.Name, Alive) {
-			out = append(out, s.envelope(helper.Addr, Message{Kind: PingFor, Seq: s.probe.seq, Target: target.Addr}))
-		}
-		return out
-	}
-	return nil
-}
-
-// age turns suspects into dead members, and forgets those that are gone for long.
-func (s *State) age(now time.Time) {
-	wait := s.opts.SuspectFor * time.Duration(max(s.doublings(), 3)) / 3
-	for name, m := range s.members {
-		gone := now.Sub(m.since)
-		switch {
-		case m.Status == Suspect && gone >= wait:
-			dead := m.Member
-			dead.Status = Dead
-			s.take(dead, now)
-		case (m.Status == Dead || m.Status == Left) && gone >= s.opts.ForgetAfter:
-			delete(s.members, name)
-		}
-	}
-	for seq, h := range s.helping {
-		if now.Sub(h.at) > 2*s.opts.ProbeEvery {
-			delete(s.helping, seq)
-		}
-	}
-}
--- a/pkg/peers/ask.go
+++ b/pkg/peers/ask.go
@@ -90,45 +90,6 @@
 	return nil
 }
 
-// hop is how long a query and its answer are on their way to and from a peer.
-type hop struct{ mean, deviation time.Duration }
-
-const (
-	// hopWeight is the weight of one query in the smoothed values.
-	hopWeight = 0.1
-	// hopDeviations covers nine hops in ten.
-	hopDeviations = 2
-	// hopFirst stands in until the first answer: a round trip in a zone, and 5 KB over a
-	// link of 20 Mbit/s.
-	hopFirst = 3 * time.Millisecond
-	// hopMost is where a peer counts as short of processor time instead.
-	hopMost = 10 * time.Millisecond
-)
-
-// learn takes over one value.
-func (h *hop) learn(took time.Duration) {
-	if h.mean == 0 {
-		h.mean, h.deviation = took, took/4
-		return
-	}
-	off := took - h.mean
-	h.mean += time.Duration(hopWeight * float64(off))
-	h.deviation += time.Duration(hopWeight * float64(off.Abs()-h.deviation))
-}
-
-// hopLocked is how much longer queries and answers are on their way through the peer; mu
-// is held.
-//
-// The peer gives an answer just before the target latency is over, as seen from there.
-// Without the hop it reaches its caller just after it; one notices that the median of a
-// kind of query comes to lie on its target (80 ms), and half of them late.
-func (c *clientConn) hopLocked() time.Duration {
-	if c.hop.mean == 0 {
-		return hopFirst
-	}
-	return min(c.hop.mean+hopDeviations*c.hop.deviation, hopMost)
-}
-
 // ask sends a query; ok is false if nothing was sent.
 func (c *clientConn) ask(q gateway.GatherQuery) (number uint64, a *asked, ok bool) {
 	c.mu.Lock()
--- a/pkg/peers/conn.go
+++ b/pkg/peers/conn.go
@@ -59,8 +59,7 @@
 }
 
 const (
-	// dialTimeout bounds a new connection to a peer: a round trip between zones is
-	// about 3 ms.
+	// dialTimeout bounds a new connection to a peer.
 	dialTimeout = 300 * time.Millisecond
 	// silence is how long after the time of a batch's first replies a peer may be
 	// silent: a round trip and a late timer on a small processor.
--- a/pkg/peers/feeder.go
+++ b/pkg/peers/feeder.go
@@ -185,8 +185,7 @@
 	return sent, c.write(kindNews, n)
 }
 
-// pack encodes and compresses a page. Entries are texts that resemble each other: a
-// configuration of 36 KB takes 6.
+// pack encodes and compresses a page: entries are texts that resemble each other.
 func (f *feeder) pack(p feed.Page) ([]byte, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/pkg/peers/frames.go
+++ b/pkg/peers/frames.go
@@ -76,8 +76,7 @@
 // ref is a text that is sent whole once on a connection and then by its number; number
 // 0 is a text that is not kept.
 //
-// Most of a leaf request's bytes are the same in each: with names of leafs and headers
-// sent once, a request for four shards takes 100 bytes in place of 860.
+// Names of leafs and headers are most of a leaf request's bytes, and the same in each.
 type ref struct {
 	_      struct{} `cbor:",toarray"`
 	Number uint16
--- a/pkg/peers/queries.go
+++ b/pkg/peers/queries.go
@@ -48,9 +48,8 @@
 
 // Times of queries that peers run.
 const (
-	// takenWithin is how soon a peer says that it runs a query: a round trip in a zone
-	// is below 1 ms, and a small processor that has used up its share waits for up to
-	// 80 ms. Longer, and a target latency of 80 ms is lost with the wait alone.
+	// takenWithin is how soon a peer says that it runs a query. It is far more than a round
+	// trip in a zone, and small against target latencies: the query is run here otherwise.
 	takenWithin = 40 * time.Millisecond
 	// grantedWithin bounds the wait for a caller that neither grants a query nor takes it
 	// back, as one that stands still: the query counts among those in flight meanwhile.
@@ -60,8 +59,8 @@
 	timerLate = 15 * time.Millisecond
 	// beatEvery is how often a peer with open queries says that it is well.
 	beatEvery = 100 * time.Millisecond
-	// beatsMissed is how long a peer with open queries may be silent: three beats, and
-	// 100 ms for a processor that has used up its share.
+	// beatsMissed is how long a peer with open queries may be silent: three beats, and one
+	// more for a processor that has used up its share.
 	beatsMissed = 4 * beatEvery
 	// answerSlack is how long after the end of a query its answer may come.
 	answerSlack = 50 * time.Millisecond
--- a/pkg/peers/slack.go
+++ b/pkg/peers/slack.go
@@ -49,8 +49,7 @@
 // The published slack is for all instances together. Were each to take two second requests to a
 // service, whatever their number, six would use a fifth of it and two hundred nearly all, none of
 // them enough to ask the other leaf of a shard whose one leaf sheds. Divided among the few that run
-// queries, a window's slack covers an overload of some seconds (195 instances, leafs that shed:
-// worth 0.54 and 0.64). The zones have equal parts, so that one that is cut off from the others
+// queries, a window's slack covers an overload of some seconds. The zones have equal parts, so that one that is cut off from the others
 // knows its own; within a zone the counts do not fall within a minute, and a part that sees less
 // than half of its zone keeps to the small share.
 func (s *slackShare) share(r roles, members []membership.Member, zone string, now time.Time) replica.Bursts {
--- a/pkg/replica/calls.go
+++ b/pkg/replica/calls.go
@@ -50,9 +50,12 @@
 // NotRun reports whether the outcome is certain proof that the request did
 // not run and will not.
 func (o Outcome) NotRun() bool {
-	return o == Refused || o == Misdirected || o == NotSent || o == PeerRefused
+	return o == Refused || o.Unreached()
 }
 
+// Unreached reports whether the outcome proves that no leaf of the service got the request.
+func (o Outcome) Unreached() bool { return o == Misdirected || o == NotSent || o == PeerRefused }
+
 // Call is a request in flight at a leaf.
 type Call struct {
 	Leaf Leaf
--- a/pkg/replica/class.go
+++ b/pkg/replica/class.go
@@ -11,11 +11,9 @@
 	typicalDefault = 20 * time.Millisecond
 	// typicalWarmup is how many first replies are kept whole.
 	typicalWarmup = 20
-	// typicalRank is the quantile that is learned. Trials with 0.3 were 0.002
-	// to 0.003 of mean worth lower.
+	// typicalRank is the quantile that is learned.
 	typicalRank = 0.5
-	// typicalStep moves the estimate with each reply. At 140 replies a
-	// second it moves by a tenth a second at most.
+	// typicalStep is the part by which a reply moves the estimate.
 	typicalStep = 0.0014
 	// typicalFar and typicalFarStep bring an estimate down that is far too
 	// high, as after a start in the middle of an overload: a reply in less
@@ -86,8 +84,8 @@
 //
 // Estimates are made of replies. If they say that every query would be late and
 // every query is therefore refused, no reply ever corrects them; one notices an
-// instance that refuses for good after an overload has passed. One query each
-// 400 ms keeps them true.
+// instance that refuses for good after an overload has passed. One query now
+// and then keeps them true.
 func (t *Table) AdmitProbe(className string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -104,7 +102,7 @@
 }
 
 // lookEvery is how often requests of a class that wait for room look for it: a part of
-// a usual reply (9 to 28 ms).
+// a usual reply.
 const lookEvery = 5 * time.Millisecond
 
 // AdmitLook reports whether a request of the class that waits for room may look for it
--- a/pkg/replica/holding.go
+++ b/pkg/replica/holding.go
@@ -4,9 +4,8 @@
 
 // Holding of requests that wait for room.
 const (
-	// holdTrial is how long a request waits without a sign that the overload ends. In
-	// replayed overloads of 1 s in 8 half of the callers that would be lost are served
-	// (with 300 ms none); in one of 10 s those lost are held for 0.15 s on average.
+	// holdTrial is how long a request waits without a sign that the overload ends: as long as
+	// a short overload lasts.
 	holdTrial = 800 * time.Millisecond
 	// holdTrialEvery is how often one is tried where the last ones waited in vain.
 	holdTrialEvery = 2 * time.Second
@@ -35,7 +34,7 @@
 // In an overload of some tenths of a second room comes back soon, and a request that
 // waits for it is served. In a long one it does not come. Held all the same, requests
 // wait in vain and are refused late; one notices callers that are kept for most of their
-// time and then turned away (215 of 227 after a median of 1.9 s). So once one has waited
+// time and then refused. So once one has waited
 // in vain the others are refused at once, and one each two seconds finds out whether
 // there is room again.
 func (t *Table) Hold(className string, now time.Time) bool {
--- a/pkg/replica/placement.go
+++ b/pkg/replica/placement.go
@@ -20,8 +20,7 @@
 	tieSpread = 0.1
 	// silentFactor and silentFloor say when a leaf that answers nothing is
 	// suspected: after that many times its usual time, and the floor. A
-	// paused leaf (200 to 250 ms) is suspected after about a fifth of its
-	// pause.
+	// paused leaf is suspected in the first part of its pause.
 	silentFactor = 3
 	silentFloor  = 15 * time.Millisecond
 	// suspectCost is added to a suspected leaf's cost: half of a usual pause.
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -168,9 +168,7 @@
 // instance's part of the published connection limit.
 //
 // A leaf resets connections beyond its limit, which looks like a crashed leaf to
-// every instance. And the requests of all instances queue at a leaf that pauses:
-// with 3 or 5 for 2 slots from each instance mean worth fell by up to 0.014,
-// with 1 by 0.05 to 0.07.
+// every instance. And the requests of all instances queue at a leaf that pauses.
 func (t *Table) connLimit(leaf *Leaf) int {
 	limit := t.opts.ConnsPerLeaf
 	if leaf.Slots > 0 {
--- a/pkg/replica/row.go
+++ b/pkg/replica/row.go
@@ -24,7 +24,7 @@
 	// lateFactor is what a failure must take, in multiples of the typical
 	// time, to be one for lack of time. lateProof is how long a leaf must have
 	// failed so, without a reply in between, to count as slow: longer than a
-	// pause (200 to 250 ms) and the queue behind it.
+	// pause and the queue behind it.
 	lateFactor = 2
 	lateProof  = 400 * time.Millisecond
 	// refusalWeight is the weight of one outcome in the smoothed share of
@@ -188,9 +188,7 @@
 // with the request in its queue. Taking each such report for slowness keeps
 // requests away from leafs that are well again. Taking none lets a leaf that is
 // too slow for every deadline look merely unreliable: one notices it asked first,
-// query after query, and failing each time. Time tells them apart: with sixty
-// instances asked once in two seconds and the near leafs of a third of the shards
-// slow, 0.97 in place of 0.57 of what could be earned (replay, with pace).
+// query after query, and failing each time. Time tells them apart.
 func (r *row) learnLate(took, base time.Duration, now time.Time) {
 	if took < lateFactor*base {
 		return
--- a/pkg/replica/zones.go
+++ b/pkg/replica/zones.go
@@ -43,8 +43,7 @@
 // up at once. Several leafs silent, or not to be connected to, with no reply from
 // their zone mean the zone. A connection that a leaf resets does not: leafs reset
 // those beyond their limit, and an instance that takes this for a cut zone leaves
-// out all others too and tells its callers to go elsewhere (636 resets in a minute
-// made one suspect zones 108 times).
+// out all others too and tells its callers to go elsewhere.
 func (t *Table) SuspectZones(now time.Time) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
