--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -106,10 +106,10 @@
 }
 
 // ShareWarming lets told know who may send requests to cold leafs, each tick. zones are those that
-// have instances, and sociable says that this instance is not the only one. It is called before
+// have instances, and expectsPeers says that this instance is not the only one. It is called before
 // Run.
-func (p *Peers) ShareWarming(zones []string, sociable bool, told func(replica.Warmers)) {
-	p.warming = warming{zones: zones, sociable: sociable}
+func (p *Peers) ShareWarming(zones []string, expectsPeers bool, told func(replica.Warmers)) {
+	p.warming = warming{zones: zones, expectsPeers: expectsPeers}
 	p.warmers = told
 }
 
--- a/pkg/peers/warm.go
+++ b/pkg/peers/warm.go
@@ -10,8 +10,8 @@
 
 const (
 	// settleFor is how long an instance must have known most of its zone, and must have been
-	// drawn, before it sends requests to cold leafs: the members of a zone know each other
-	// within 1.5 s of their start, and a member that is wrongly suspected objects within 1 s.
+	// drawn, before it sends requests to cold leafs: by then the members of a zone know each
+	// other, and one that is wrongly suspected has objected.
 	settleFor = 2 * time.Second
 	// stoodStill is how long after its last look an instance is taken to have stood still: what
 	// it knows of the others is old.
@@ -20,10 +20,10 @@
 
 // warming decides whether this instance sends requests to cold leafs.
 type warming struct {
-	// zones are those that are known to have instances, and sociable that others are known to
-	// be there.
-	zones    []string
-	sociable bool
+	// zones are those that are known to have instances; expectsPeers: this instance is not the
+	// only one.
+	zones        []string
+	expectsPeers bool
 	// steppedAt is the last look; settledAt since when most of the zone is known, and drawnAt
 	// since when this instance runs queries; zero: not now.
 	steppedAt, settledAt, drawnAt time.Time
@@ -39,9 +39,9 @@
 		w.settledAt, w.drawnAt = time.Time{}, time.Time{}
 	}
 	w.steppedAt = now
-	since(&w.settledAt, 2*(r.near+1) > present(members, self.Zone)+1 && (len(members) > 0 || !w.sociable), now)
+	since(&w.settledAt, 2*(r.near+1) > present(members, self.Zone)+1 && (len(members) > 0 || !w.expectsPeers), now)
 	since(&w.drawnAt, len(r.gatherers) == 0, now)
-	if !w.sociable && len(members) == 0 {
+	if !w.expectsPeers && len(members) == 0 {
 		return replica.Warmers{Alone: 1}
 	}
 	if !lasted(w.settledAt, now) {
--- a/pkg/peers/warm_test.go
+++ b/pkg/peers/warm_test.go
@@ -76,7 +76,7 @@
 	n := s.nodes[i]
 	seeds := []string{s.nodes[0].self.Addr, s.nodes[min(1, len(s.nodes)-1)].self.Addr}
 	n.state = membership.New(n.self, seeds, membership.Defaults(), rand.New(rand.NewPCG(uint64(i), s.rng.Uint64())), s.now())
-	n.warming = warming{zones: slices.Sorted(maps.Keys(s.zones())), sociable: len(s.nodes) > 1}
+	n.warming = warming{zones: slices.Sorted(maps.Keys(s.zones())), expectsPeers: len(s.nodes) > 1}
 	n.table = replica.NewTable(replica.Options{Zone: n.self.Zone, ConnsPerLeaf: 100, Instances: 1, Ties: func() float64 { return 0 }})
 	n.table.SetShards(map[string]bool{"queries": true})
 	n.table.SetColdLimits(map[string]replica.ColdLimit{"queries": {PerSecond: warmLimit}, "single": {PerSecond: warmLimit}})
--- a/pkg/replica/cold_test.go
+++ b/pkg/replica/cold_test.go
@@ -72,6 +72,22 @@
 	require.Equal(t, 100, got[4], "warm again")
 }
 
+// TestLeafThatTurnsColdIsNews guards against a belief that changes without a line in the log.
+func TestLeafThatTurnsColdIsNews(t *testing.T) {
+	table := coldTable(only(), 14, "z1")
+	leaf, _ := table.Leaf("leaf0")
+	report := func(cold time.Duration, at time.Duration) Change {
+		leaf.Cold = cold
+		leaf.Sequence++
+		return table.Upsert(leaf, t0.Add(at))
+	}
+	require.Equal(t, TurnedCold, report(3*time.Second, 0))
+	require.Equal(t, Unchanged, report(2*time.Second, time.Second))
+	require.Equal(t, Unchanged, report(0, 4*time.Second))
+	require.Equal(t, TurnedCold, report(time.Second, 5*time.Second))
+	require.Equal(t, "turned_cold", TurnedCold.String())
+}
+
 // TestLeafThatTurnsColdCountsWhatItGotBefore guards against requests of one second that are
 // counted anew when the leaf says in the middle of it that it is cold.
 func TestLeafThatTurnsColdCountsWhatItGotBefore(t *testing.T) {
--- a/pkg/replica/listed.go
+++ b/pkg/replica/listed.go
@@ -17,13 +17,15 @@
 	Drains
 	// Moved: address, zone or service differ.
 	Moved
+	// TurnedCold: the leaf says that it is cold, which it was not.
+	TurnedCold
 	// Reborn: the leaf has started again; what was in flight there is lost.
 	Reborn
 )
 
 // String names the change in logs.
 func (c Change) String() string {
-	return [...]string{"unchanged", "joined", "drains", "moved", "reborn"}[c]
+	return [...]string{"unchanged", "joined", "drains", "moved", "turned_cold", "reborn"}[c]
 }
 
 // departedFor bounds how long the last report of a departed leaf is
@@ -57,6 +59,7 @@
 		return Unchanged
 	}
 	r.lapsed = false
+	wasCold := now.Before(r.coldUntil)
 	r.learnCold(leaf.Cold, now)
 	change := Unchanged
 	switch {
@@ -64,6 +67,8 @@
 		change = Drains
 	case leaf.Addr != r.Addr || leaf.Zone != r.Zone || !slices.Equal(leaf.Services, r.Services):
 		change = Moved
+	case leaf.Cold > 0 && !wasCold:
+		change = TurnedCold
 	}
 	leaf.Draining = leaf.Draining || r.Draining
 	if slices.Equal(leaf.Services, r.Services) {
