The log tells each failed call to the store, and from whom a configuration came

The incident's hypotheses could not be told apart: only the first failure of an outage was logged, and config_in_force did not say whether the store or a peer had told it, nor how old the instance's knowledge was. New: store_call_failed (wait, time taken, retry pause, age), origin, revision and age on config_in_force, attempts on store_regained, node_store_proof_gap_seconds.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -51,6 +51,8 @@
 	woken   chan struct{}
 	// changed is called when there is something new for those that are fed.
 	changed func()
+	// proofGap is told how far the proofs are apart that what is known is up to date.
+	proofGap func(time.Duration)
 
 	// mu guards the book, and the order of what the sink is told.
 	mu   sync.Mutex
@@ -66,6 +68,8 @@
 	lastGood     time.Time
 	failingSince time.Time
 	retry        time.Duration
+	// inRow is how many calls have failed since the last successful one.
+	inRow int
 
 	calls      atomic.Int64
 	failures   atomic.Int64
@@ -98,7 +102,7 @@
 func NewFollower(source Source, sink Sink, opts Options, log *oplog.Log) *Follower {
 	f := &Follower{
 		source: source, sink: sink, opts: opts, log: log,
-		book: feed.NewBook(), woken: make(chan struct{}, 1), changed: func() {},
+		book: feed.NewBook(), woken: make(chan struct{}, 1), changed: func() {}, proofGap: func(time.Duration) {},
 	}
 	f.reading.Store(true)
 	return f
@@ -126,9 +130,10 @@
 
 // step makes the next call or listing and returns how long to pause.
 func (f *Follower) step(ctx context.Context) time.Duration {
+	began := time.Now()
 	if !f.Known() {
 		if err := f.list(ctx); err != nil {
-			return f.failed(ctx, "list", err)
+			return f.failed(ctx, call{kind: "list", began: began}, err)
 		}
 		f.paused = true
 		return f.opts.Coalesce
@@ -146,7 +151,7 @@
 		return 0
 	}
 	if err != nil {
-		return f.failed(ctx, "watch", err)
+		return f.failed(ctx, call{kind: "watch", began: began, wait: wait}, err)
 	}
 	f.succeeded()
 	f.unreadable.Add(int64(page.Unreadable))
@@ -222,7 +227,7 @@
 
 // apply hands the events to the sink. Of several configurations only the last
 // one counts, and it comes after the leafs, so that its routes have some.
-func (f *Follower) apply(events []Event) {
+func (f *Follower) apply(events []Event, origin Origin) {
 	var config *routing.Config
 	for _, e := range events {
 		switch {
@@ -241,7 +246,7 @@
 		}
 	}
 	if config != nil {
-		f.sink.ConfigSeen(config)
+		f.sink.ConfigSeen(config, origin)
 	}
 }
 
@@ -252,26 +257,40 @@
 	if !f.failingSince.IsZero() {
 		away := now.Sub(f.failingSince)
 		f.failingSince = time.Time{}
-		f.log.State("store_regained", oplog.Fields{"away_ms": away.Milliseconds(), "revision": f.revision.Load()})
+		f.log.State("store_regained", oplog.Fields{"away_ms": away.Milliseconds(), "attempts": f.inRow, "revision": f.revision.Load()})
 		if now.Sub(f.lastGood) >= f.opts.AwayAfter {
 			f.returned(now)
 		}
 	}
 	f.lastGood = now
-	f.retry = 0
+	f.retry, f.inRow = 0, 0
+}
+
+// call is one call to the store as the log tells it.
+type call struct {
+	kind  string
+	began time.Time
+	// wait is how long a watch was to wait for a change.
+	wait time.Duration
 }
 
 // failed notes a call that failed and returns how long to wait.
-func (f *Follower) failed(ctx context.Context, call string, err error) time.Duration {
+func (f *Follower) failed(ctx context.Context, c call, err error) time.Duration {
 	if ctx.Err() != nil {
 		return 0
 	}
+	now := time.Now()
 	f.calls.Add(1)
 	f.failures.Add(1)
+	f.inRow++
 	if f.failingSince.IsZero() {
-		f.failingSince = time.Now()
-		f.log.State("store_lost", oplog.Fields{"call": call, "error": err.Error(), "revision": f.revision.Load()})
+		f.failingSince = now
+		f.log.State("store_lost", oplog.Fields{"call": c.kind, "error": err.Error(), "revision": f.revision.Load()})
 	}
 	f.retry = min(max(2*f.retry, f.opts.RetryFirst), f.opts.RetryMost)
+	f.log.Decision("store_call_failed", oplog.Fields{
+		"call": c.kind, "attempt": f.inRow, "wait_ms": c.wait.Milliseconds(), "took_ms": now.Sub(c.began).Milliseconds(),
+		"retry_in_ms": f.retry.Milliseconds(), "age_ms": f.Age(now).Milliseconds(), "error": err.Error(),
+	})
 	return f.retry
 }
--- a/pkg/discovery/discovery_test.go
+++ b/pkg/discovery/discovery_test.go
@@ -53,7 +53,7 @@
 func (r *record) LeafSeen(l replica.Leaf)      { r.told = append(r.told, "leaf "+l.ID) }
 func (r *record) LeafGone(id string)           { r.told = append(r.told, "gone "+id) }
 func (r *record) LeafUnreadable(id string)     { r.told = append(r.told, "unreadable "+id) }
-func (r *record) ConfigSeen(c *routing.Config) { r.told = append(r.told, "config") }
+func (r *record) ConfigSeen(*routing.Config, Origin) { r.told = append(r.told, "config") }
 func (r *record) StoreReturned()               { r.told = append(r.told, "returned") }
 
 func (r *record) ZoneEvacuated(zone string, evacuated bool) {
--- a/pkg/discovery/events.go
+++ b/pkg/discovery/events.go
@@ -73,6 +73,15 @@
 	Decode(item feed.Item) Event
 }
 
+// Origin is from whom an instance has learned something.
+type Origin string
+
+// Origins.
+const (
+	FromStore Origin = "store"
+	FromPeer  Origin = "peer"
+)
+
 // Sink takes over what is published.
 type Sink interface {
 	LeafSeen(leaf replica.Leaf)
@@ -83,7 +92,7 @@
 	ZoneEvacuated(zone string, evacuated bool)
 	// Listed is told a complete listing: what it lacks is gone.
 	Listed(l Listing)
-	ConfigSeen(c *routing.Config)
+	ConfigSeen(c *routing.Config, origin Origin)
 	// StoreReturned is told before the first events after an outage.
 	StoreReturned()
 }
--- a/pkg/discovery/fed.go
+++ b/pkg/discovery/fed.go
@@ -16,6 +16,10 @@
 // before Run.
 func (f *Follower) OnChange(changed func()) { f.changed = changed }
 
+// OnProof lets gap be told, each time that what is known is proven to be up to date, how long after
+// the proof before. It is called before Run.
+func (f *Follower) OnProof(gap func(time.Duration)) { f.proofGap = gap }
+
 // Since is what has changed after a revision.
 func (f *Follower) Since(revision int64) feed.Page {
 	f.mu.Lock()
@@ -41,6 +45,9 @@
 			return
 		}
 		if f.goodAt.CompareAndSwap(was, &at) {
+			if was != nil {
+				f.proofGap(at.Sub(*was))
+			}
 			return
 		}
 	}
@@ -119,7 +126,7 @@
 		listing.add(e)
 		events = append(events, e)
 	}
-	f.apply(events)
+	f.apply(events, FromPeer)
 	if first {
 		// What was known before was dropped, if there was anything: all that is new is all
 		// there is.
@@ -176,7 +183,7 @@
 		fresh[it.Key] = true
 	}
 	f.rise()
-	f.apply(onlyFresh(events, fresh))
+	f.apply(onlyFresh(events, fresh), FromStore)
 	f.mu.Unlock()
 	if len(fresh) > 0 {
 		f.changed()
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -90,6 +90,8 @@
 	}
 	n.gateway.Quarantine().SetMost(settings.Duration(set.Limits.QuarantineMostMs), time.Now())
 	n.follower = discovery.NewFollower(adapter.Source(set.Store.Address, n.log), n, storeOptions(set), n.log)
+	gaps := n.metrics.NewHistogram("node_store_proof_gap_seconds")
+	n.follower.OnProof(func(gap time.Duration) { gaps.Update(gap.Seconds()) })
 	if n.front, err = front.New(set.Listen.Callers, adapter.Door(n.gateway, n.log), limitsUnknown, set.Limits.MaxConnections); err != nil {
 		return nil, err
 	}
--- a/pkg/node/sink.go
+++ b/pkg/node/sink.go
@@ -66,12 +66,15 @@
 }
 
 // ConfigSeen implements discovery.Sink.
-func (n *Node) ConfigSeen(c *routing.Config) {
+func (n *Node) ConfigSeen(c *routing.Config, origin discovery.Origin) {
 	if !n.gateway.SetConfig(c) {
 		return
 	}
 	n.front.SetLimits(c.Limits)
-	n.log.State("config_in_force", oplog.Fields{"version": c.Version, "routes": c.RouteCount(), "services": len(c.Services)})
+	n.log.State("config_in_force", oplog.Fields{
+		"version": c.Version, "routes": c.RouteCount(), "services": len(c.Services),
+		"origin": origin, "revision": n.follower.Revision(), "age_ms": n.follower.Age(time.Now()).Milliseconds(),
+	})
 }
 
 // StoreReturned implements discovery.Sink.
