--- /dev/null
+++ b/pkg/node/storesim_test.go
@@ -0,0 +1,375 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/indigoyoke/indigoyoke/pkg/discovery"
+	"github.com/indigoyoke/indigoyoke/pkg/feed"
+	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+	"github.com/indigoyoke/indigoyoke/pkg/replica"
+	"github.com/indigoyoke/indigoyoke/pkg/routing"
+	"github.com/indigoyoke/indigoyoke/pkg/settings"
+)
+
+// simStore is the platform's store in virtual time: a counter whose value is the version of the
+// configuration.
+type simStore struct {
+	mu sync.Mutex
+	storeState
+	// confirmed is when each version was written.
+	confirmed map[int64]time.Time
+	// answer is how long an answer takes.
+	answer time.Duration
+	calls  int
+	// disturbedUntil is when the last disturbance ended.
+	disturbedUntil time.Time
+}
+
+// storeState is what calls depend on.
+type storeState struct {
+	revision int64
+	mode     storeMode
+	// epoch rises when all calls that are open are never answered, cuts when they are ended.
+	epoch, cuts int
+	// floor is the oldest revision from which a watch can go on. deaf: open watches hear nothing.
+	floor int64
+	deaf  bool
+	// changed is closed at the next change of this.
+	changed chan struct{}
+}
+
+// storeMode is how the store answers new calls.
+type storeMode int
+
+const (
+	storeWell storeMode = iota
+	storeSilent
+	storeRefusing
+)
+
+var (
+	errStoreBusy = errors.New("store answered with status 503")
+	errStoreCut  = errors.New("connection reset")
+)
+
+func newSimStore() *simStore {
+	return &simStore{
+		storeState: storeState{revision: 1, changed: make(chan struct{})},
+		confirmed:  map[int64]time.Time{}, answer: 4 * time.Millisecond,
+	}
+}
+
+// do changes the store and wakes the calls that wait.
+func (s *simStore) do(change func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change()
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// write publishes another version.
+func (s *simStore) write() {
+	s.do(func() {
+		s.revision++
+		s.confirmed[s.revision] = time.Now()
+	})
+}
+
+// swallow leaves all open calls without an answer.
+func (s *simStore) swallow() { s.do(func() { s.epoch++ }) }
+
+// fail puts the store into a mode for some time.
+func (s *simStore) fail(mode storeMode, cut bool, lasts time.Duration) {
+	s.do(func() {
+		s.mode = mode
+		if cut {
+			s.cuts++
+		} else {
+			s.epoch++
+		}
+	})
+	time.Sleep(lasts)
+	s.do(func() {
+		s.mode = storeWell
+		s.disturbedUntil = time.Now()
+	})
+}
+
+// loseHistory leaves open watches without news while versions are written, then drops the history
+// and ends them.
+func (s *simStore) loseHistory(lasts time.Duration) {
+	s.do(func() { s.deaf = true })
+	time.Sleep(lasts / 2)
+	s.write()
+	time.Sleep(lasts / 2)
+	s.do(func() {
+		s.deaf = false
+		s.floor = s.revision
+		s.cuts++
+		s.disturbedUntil = time.Now()
+	})
+}
+
+// state is what a call sees of the store at one moment.
+func (s *simStore) state() storeState {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.storeState
+}
+
+// begin is the part that all calls share; it returns the state at the start.
+func (s *simStore) begin(ctx context.Context) (storeState, error) {
+	s.mu.Lock()
+	s.calls++
+	at := s.storeState
+	s.mu.Unlock()
+	switch at.mode {
+	case storeSilent:
+		<-ctx.Done()
+		return at, ctx.Err()
+	case storeRefusing:
+		time.Sleep(s.answer)
+		return at, errStoreBusy
+	}
+	return at, nil
+}
+
+// finish is the way of an answer back to the caller.
+func (s *simStore) finish(ctx context.Context, began storeState) error {
+	time.Sleep(s.answer)
+	if now := s.state(); now.epoch != began.epoch || now.mode == storeSilent {
+		<-ctx.Done()
+	}
+	return ctx.Err()
+}
+
+func (s *simStore) event(revision int64) discovery.Event {
+	return s.Decode(feed.Item{Key: "config", Revision: revision})
+}
+
+// Decode implements discovery.Source.
+func (s *simStore) Decode(it feed.Item) discovery.Event {
+	return discovery.Event{Item: it, Config: routing.NewConfig(it.Revision, nil, nil, routing.Limits{})}
+}
+
+// List implements discovery.Source.
+func (s *simStore) List(ctx context.Context, _ string) (discovery.Page, error) {
+	began, err := s.begin(ctx)
+	if err == nil {
+		err = s.finish(ctx, began)
+	}
+	return discovery.Page{Revision: began.revision, Events: []discovery.Event{s.event(began.revision)}}, err
+}
+
+// Watch implements discovery.Source.
+func (s *simStore) Watch(ctx context.Context, after int64, wait time.Duration) (discovery.Page, error) {
+	began, err := s.begin(ctx)
+	if err != nil {
+		return discovery.Page{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	over := false
+	for {
+		now := s.state()
+		switch {
+		case now.epoch != began.epoch:
+			<-ctx.Done()
+			return discovery.Page{}, ctx.Err()
+		case now.cuts != began.cuts:
+			return discovery.Page{}, errStoreCut
+		case after < now.floor:
+			return discovery.Page{}, discovery.ErrCompacted
+		case !now.deaf && now.revision > after:
+			return discovery.Page{Revision: now.revision, Events: []discovery.Event{s.event(now.revision)}}, s.finish(ctx, began)
+		case over:
+			return discovery.Page{Revision: after}, s.finish(ctx, began)
+		}
+		select {
+		case <-now.changed:
+		case <-timer.C:
+			over = true
+		case <-ctx.Done():
+			return discovery.Page{}, ctx.Err()
+		}
+	}
+}
+
+// simInstance is an instance that follows the store.
+type simInstance struct {
+	follower *discovery.Follower
+	mu       sync.Mutex
+	// known is when each version was known: it, or a later one.
+	known  map[int64]time.Time
+	newest int64
+	wakes  []chan struct{}
+}
+
+// ConfigSeen implements discovery.Sink.
+func (i *simInstance) ConfigSeen(c *routing.Config, _ discovery.Origin) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for v := i.newest + 1; v <= c.Version; v++ {
+		i.known[v] = time.Now()
+	}
+	i.newest = max(i.newest, c.Version)
+}
+
+func (*simInstance) LeafSeen(replica.Leaf)      {}
+func (*simInstance) LeafGone(string)            {}
+func (*simInstance) LeafUnreadable(string)      {}
+func (*simInstance) ZoneEvacuated(string, bool) {}
+func (*simInstance) Listed(discovery.Listing)   {}
+func (*simInstance) StoreReturned()             {}
+
+// simFleet is a store and instances that follow it.
+type simFleet struct {
+	store     *simStore
+	instances []*simInstance
+	stop      context.CancelFunc
+	running   sync.WaitGroup
+}
+
+// newSimFleet starts instances that read the store and hear of each other as sources says: for
+// each the numbers of those that it listens to.
+func newSimFleet(set *settings.Node, sources [][]int) *simFleet {
+	ctx, stop := context.WithCancel(context.Background())
+	f := &simFleet{store: newSimStore(), stop: stop}
+	log := oplog.New(io.Discard, nil, oplog.Options{LinesPerSecond: 1, Burst: 1, Buffer: 1})
+	log.Close(time.Second)
+	for range sources {
+		i := &simInstance{known: map[int64]time.Time{}}
+		i.follower = discovery.NewFollower(f.store, i, storeOptions(set), log)
+		i.follower.OnChange(i.wake)
+		f.instances = append(f.instances, i)
+	}
+	for to, from := range sources {
+		for _, n := range from {
+			wake := make(chan struct{}, 1)
+			f.instances[n].wakes = append(f.instances[n].wakes, wake)
+			f.running.Go(func() { feedSim(ctx, f.instances[n].follower, f.instances[to].follower, wake) })
+		}
+	}
+	for _, i := range f.instances {
+		f.running.Go(func() { i.follower.Run(ctx) })
+	}
+	return f
+}
+
+// end stops the instances.
+func (f *simFleet) end() {
+	f.stop()
+	f.running.Wait()
+}
+
+func (i *simInstance) wake() {
+	for _, w := range i.wakes {
+		select {
+		case w <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// Times of the messages between instances.
+const (
+	simNewsEvery = 300 * time.Millisecond
+	simWay       = 2 * time.Millisecond
+)
+
+// feedSim lets one instance hear of another until ctx ends.
+func feedSim(ctx context.Context, from, to *discovery.Follower, wake chan struct{}) {
+	sent := int64(0)
+	ticker := time.NewTicker(simNewsEvery)
+	defer ticker.Stop()
+	for {
+		page, at, revision := from.Since(sent), from.ProvenAt(), from.Revision()
+		time.Sleep(simWay)
+		if from.Known() && revision > sent {
+			if to.TakeFed(page) == nil {
+				sent = page.To
+			}
+		}
+		if !at.IsZero() && revision <= to.Revision() {
+			to.Proven(at)
+		}
+		select {
+		case <-wake:
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// alone are instances that do not hear of each other.
+func alone(n int) [][]int { return make([][]int, n) }
+
+// ring are instances that each listen to the next two.
+func ring(n int) [][]int {
+	out := make([][]int, n)
+	for i := range out {
+		for step := 1; step <= min(2, n-1); step++ {
+			out[i] = append(out[i], (i+step)%n)
+		}
+	}
+	return out
+}
+
+// knownWithin is how soon each instance is to know a configuration after the store has confirmed
+// it, or has come back, whichever is later.
+const knownWithin = 2 * time.Second
+
+// requireKnown fails where an instance knew a version later than that.
+func (f *simFleet) requireKnown(t *testing.T, what ...any) {
+	t.Helper()
+	for version, confirmed := range f.store.confirmed {
+		from := confirmed
+		if f.store.disturbedUntil.After(from) {
+			from = f.store.disturbedUntil
+		}
+		for n, i := range f.instances {
+			i.mu.Lock()
+			at, known := i.known[version]
+			i.mu.Unlock()
+			require.True(t, known, "%v: instance %d of %d does not know version %d", what, n, len(f.instances), version)
+			require.LessOrEqual(t, at.Sub(from), knownWithin, "%v: instance %d of %d, version %d", what, n, len(f.instances), version)
+		}
+	}
+}
+
+// simDeployments are the bounds that deployments declare.
+func simDeployments() map[string]*settings.Node {
+	out := make(map[string]*settings.Node)
+	for name, b := range map[string]settings.NodeDeclared{
+		"small":       {ContactMs: 4000, GraceMs: 6000, ApplyMs: 3000, DrainMs: 3000},
+		"grown":       {ContactMs: 5000, GraceMs: 6000, ApplyMs: 5000, DrainMs: 5000},
+		"evacuations": {ContactMs: 5000, GraceMs: 6000, ApplyMs: 5000, DrainMs: 5000, EvacuateMs: 5000},
+		"large":       {ContactMs: 5000, GraceMs: 6000, ApplyMs: 6000, DrainMs: 6000},
+	} {
+		set := settings.NodeDefaults()
+		set.Bounds = b
+		set.Peers.Listen = "127.0.0.1:1"
+		out[name] = &set
+	}
+	return out
+}
+
+// simFleets are the sizes and neighbourhoods that are simulated.
+func simFleets() map[string][][]int {
+	return map[string][][]int{"one": alone(1), "two": ring(2), "three": ring(3), "eight": ring(8), "eight strangers": alone(8)}
+}
+
+// sleepRandom sleeps for up to most.
+func sleepRandom(rng *rand.Rand, most time.Duration) {
+	time.Sleep(time.Duration(rng.Int64N(int64(most))))
+}
