A call to the store that is never answered no longer hides changes

What callers saw: 404 for a route that had been added more than 3 s before, at an instance that was not disturbed itself.

Cause: an instance has one call to the store open, and learned that it would never be answered only at its end, after 2.4 s of wait and 1.5 s of timeout; retry pauses came on top, and the next call waited as long again. A call made just before the store came back hid the return for 3.9 s. One change wakes all instances and the same times follow, so that one phase hit the whole fleet, and those that feed each other hung together. Class: silence taken for the absence of news, with a detection time that was no part of the bound.

Change: what is known has an age, and the open call is given up for one that is answered at once when that age is too high (pkg/longpoll, no I/O). Calls after a failure are short. Instances hear of each other's answers and wait the longer for them; after a change each waits by its place among the readers. Readers listen to readers of other zones too, which feeds a zone that the store does not answer. The sum of the times is checked at load against the declared ones: 1.95 s of 2.

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -7,11 +7,13 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/indigoyoke/indigoyoke/pkg/feed"
+	"github.com/indigoyoke/indigoyoke/pkg/longpoll"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
@@ -21,19 +23,7 @@
 
 // Options pace the calls, each of which is billed.
 type Options struct {
-	// WatchWait is how long a watch waits for a change.
-	WatchWait time.Duration
-	// Coalesce is the pause after a watch that brought changes, so that
-	// changes in quick succession are fetched together.
-	Coalesce time.Duration
-	// AfterPause is how long the watch after such a pause waits, where others are fed by
-	// this instance and must know that its news are not old; zero: as any other.
-	AfterPause time.Duration
-	// CallTimeout bounds a call beyond its wait.
-	CallTimeout time.Duration
-	// RetryFirst and RetryMost bound the growing pause after failures.
-	RetryFirst time.Duration
-	RetryMost  time.Duration
+	Pace longpoll.Options
 	// AwayAfter is how long calls must fail before leafs that vanish count
 	// as lapsed with the outage.
 	AwayAfter time.Duration
@@ -61,23 +51,22 @@
 	revision atomic.Int64
 	risenAt  time.Time
 
-	// paused: the last watch was followed by a pause.
-	paused bool
+	pacer *longpoll.Pacer
+	// group is what is known of the other instances that read the store.
+	group atomic.Pointer[longpoll.Group]
 	// lastGood is the last successful call, failingSince the first failed
 	// one after it.
 	lastGood     time.Time
 	failingSince time.Time
-	retry        time.Duration
-	// inRow is how many calls have failed since the last successful one.
-	inRow int
 
 	calls      atomic.Int64
 	failures   atomic.Int64
 	unreadable atomic.Int64
-	// goodAt is when the store last answered, this instance or one that feeds it.
-	goodAt atomic.Pointer[time.Time]
-	// answeredAt is when it last answered this instance itself.
-	answeredAt atomic.Pointer[time.Time]
+	// provenAt is up to when all is known that the store published.
+	provenAt atomic.Pointer[time.Time]
+	// answeredAt is when the store last answered this instance itself, confirmedAt this one or
+	// another that it listens to.
+	answeredAt, confirmedAt atomic.Pointer[time.Time]
 }
 
 // Calls is how many calls were made, Failures how many of them failed.
@@ -89,9 +78,10 @@
 // Unreadable is how many entries could not be decoded.
 func (f *Follower) Unreadable() int64 { return f.unreadable.Load() }
 
-// Age is how old the last answer of the store is; 0 before the first.
+// Age is how old what is known is: for how long the store may have published something else. It is
+// 0 before anything is known.
 func (f *Follower) Age(now time.Time) time.Duration {
-	at := f.goodAt.Load()
+	at := f.provenAt.Load()
 	if at == nil {
 		return 0
 	}
@@ -101,10 +91,12 @@
 // NewFollower returns a follower that has read nothing yet.
 func NewFollower(source Source, sink Sink, opts Options, log *oplog.Log) *Follower {
 	f := &Follower{
+		pacer:  longpoll.New(opts.Pace, rand.Float64),
 		source: source, sink: sink, opts: opts, log: log,
 		book: feed.NewBook(), woken: make(chan struct{}, 1), changed: func() {}, proofGap: func(time.Duration) {},
 	}
 	f.reading.Store(true)
+	f.group.Store(&longpoll.Group{Place: 1})
 	return f
 }
 
@@ -128,6 +120,9 @@
 	}
 }
 
+// errStale ends a call that is still open although what is known has become too old.
+var errStale = errors.New("given up: what is known is too old")
+
 // step makes the next call or listing and returns how long to pause.
 func (f *Follower) step(ctx context.Context) time.Duration {
 	began := time.Now()
@@ -135,31 +130,72 @@
 		if err := f.list(ctx); err != nil {
 			return f.failed(ctx, call{kind: "list", began: began}, err)
 		}
-		f.paused = true
-		return f.opts.Coalesce
-	}
-	wait := f.opts.WatchWait
-	if f.paused && f.opts.AfterPause > 0 {
-		wait = min(wait, f.opts.AfterPause)
+		return f.pacer.Answered(true, false)
 	}
-	callCtx, cancel := context.WithTimeout(ctx, wait+f.opts.CallTimeout)
-	defer cancel()
+	next := f.pacer.Next(f.Age(began), *f.group.Load())
 	revision := f.revision.Load()
-	page, err := f.source.Watch(callCtx, revision, wait)
-	if errors.Is(err, ErrCompacted) || (err == nil && page.Revision < revision) {
+	page, err := f.watch(ctx, revision, next)
+	c := call{kind: "watch", began: began, wait: next.Wait}
+	switch {
+	case errors.Is(err, ErrCompacted) || (err == nil && page.Revision < revision):
 		f.startAnew(page.Revision, err)
 		return 0
-	}
-	if err != nil {
-		return f.failed(ctx, call{kind: "watch", began: began, wait: wait}, err)
+	case errors.Is(err, errStale):
+		f.gaveUp(c)
+		return 0
+	case err != nil:
+		return f.failed(ctx, c, err)
 	}
 	f.succeeded()
 	f.unreadable.Add(int64(page.Unreadable))
 	f.take(feed.Page{From: revision, To: page.Revision}, page.Events)
 	f.answered()
-	pause := f.pause(page)
-	f.paused = pause > 0
-	return pause
+	return f.pacer.Answered(len(page.Events) > 0, page.Full)
+}
+
+// watch makes one call. It ends with errStale where what is known becomes too old meanwhile.
+func (f *Follower) watch(ctx context.Context, revision int64, next longpoll.Call) (Page, error) {
+	ctx, giveUp := context.WithCancelCause(ctx)
+	defer giveUp(nil)
+	if next.Stale > 0 {
+		go f.untilStale(ctx, next.Stale, giveUp)
+	}
+	callCtx, cancel := context.WithTimeout(ctx, next.Wait+next.Timeout)
+	defer cancel()
+	page, err := f.source.Watch(callCtx, revision, next.Wait)
+	if err != nil && errors.Is(context.Cause(ctx), errStale) {
+		err = errStale
+	}
+	return page, err
+}
+
+// untilStale gives a call up when what is known is older than a limit, unless the call ends before.
+func (f *Follower) untilStale(ctx context.Context, limit time.Duration, giveUp context.CancelCauseFunc) {
+	for {
+		left := limit - f.Age(time.Now())
+		if left <= 0 {
+			giveUp(errStale)
+			return
+		}
+		timer := time.NewTimer(left)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return
+		}
+	}
+}
+
+// gaveUp notes a call that was given up; the next one tells whether the store is away.
+func (f *Follower) gaveUp(c call) {
+	now := time.Now()
+	f.calls.Add(1)
+	f.pacer.GaveUp()
+	f.log.Decision("store_call_given_up", oplog.Fields{
+		"wait_ms": c.wait.Milliseconds(), "took_ms": now.Sub(c.began).Milliseconds(),
+		"age_ms": f.Age(now).Milliseconds(), "heard": f.group.Load().Heard,
+	})
 }
 
 // startAnew forgets what is known of the store, so that all is listed.
@@ -175,19 +211,6 @@
 	f.forget()
 }
 
-// pause is how long to wait after a watch.
-//
-// After an outage of some seconds more may have changed than one reply holds. With
-// the usual pause after each of them an instance reads an old state of the fleet for
-// as long again; one notices new routes answered as unknown, and requests sent to
-// leafs that left, although the store is well.
-func (f *Follower) pause(page Page) time.Duration {
-	if len(page.Events) == 0 || page.Full {
-		return 0
-	}
-	return f.opts.Coalesce
-}
-
 // list reads all that is published. Pages are no snapshot: a leaf may leave
 // between two of them. Watching on from the first page's revision replays what
 // was missed.
@@ -197,7 +220,7 @@
 	next := ""
 	revision := int64(-1)
 	for {
-		callCtx, cancel := context.WithTimeout(ctx, f.opts.CallTimeout)
+		callCtx, cancel := context.WithTimeout(ctx, f.opts.Pace.TimeoutMost)
 		page, err := f.source.List(callCtx, next)
 		cancel()
 		if err != nil {
@@ -257,13 +280,12 @@
 	if !f.failingSince.IsZero() {
 		away := now.Sub(f.failingSince)
 		f.failingSince = time.Time{}
-		f.log.State("store_regained", oplog.Fields{"away_ms": away.Milliseconds(), "attempts": f.inRow, "revision": f.revision.Load()})
+		f.log.State("store_regained", oplog.Fields{"away_ms": away.Milliseconds(), "attempts": f.pacer.Attempts(), "revision": f.revision.Load()})
 		if now.Sub(f.lastGood) >= f.opts.AwayAfter {
 			f.returned(now)
 		}
 	}
 	f.lastGood = now
-	f.retry, f.inRow = 0, 0
 }
 
 // call is one call to the store as the log tells it.
@@ -282,15 +304,15 @@
 	now := time.Now()
 	f.calls.Add(1)
 	f.failures.Add(1)
-	f.inRow++
+	took := now.Sub(c.began)
+	pause := f.pacer.Failed(took)
 	if f.failingSince.IsZero() {
 		f.failingSince = now
 		f.log.State("store_lost", oplog.Fields{"call": c.kind, "error": err.Error(), "revision": f.revision.Load()})
 	}
-	f.retry = min(max(2*f.retry, f.opts.RetryFirst), f.opts.RetryMost)
 	f.log.Decision("store_call_failed", oplog.Fields{
-		"call": c.kind, "attempt": f.inRow, "wait_ms": c.wait.Milliseconds(), "took_ms": now.Sub(c.began).Milliseconds(),
-		"retry_in_ms": f.retry.Milliseconds(), "age_ms": f.Age(now).Milliseconds(), "error": err.Error(),
+		"call": c.kind, "attempt": f.pacer.Attempts(), "wait_ms": c.wait.Milliseconds(), "took_ms": took.Milliseconds(),
+		"retry_in_ms": pause.Milliseconds(), "age_ms": f.Age(now).Milliseconds(), "error": err.Error(),
 	})
-	return f.retry
+	return pause
 }
--- a/pkg/discovery/fed.go
+++ b/pkg/discovery/fed.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/indigoyoke/indigoyoke/pkg/feed"
+	"github.com/indigoyoke/indigoyoke/pkg/longpoll"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 )
 
@@ -37,32 +38,45 @@
 // Revision is the store's as of the latest change that is known.
 func (f *Follower) Revision() int64 { return f.revision.Load() }
 
-// Proven notes that the store has answered at a time, this instance or one that feeds it.
+// Proven notes that all is known which the store had published by a time, as another instance says.
 func (f *Follower) Proven(at time.Time) {
+	if was, later := advance(&f.provenAt, at); later && was != nil {
+		f.proofGap(at.Sub(*was))
+	}
+}
+
+// Confirmed notes the same where that instance has asked the store itself. Only this is told on: each
+// message makes an answer seem younger by the time that it is on its way, so that instances which
+// tell each other what they were told would never see it grow old.
+func (f *Follower) Confirmed(at time.Time) {
+	advance(&f.confirmedAt, at)
+	f.Proven(at)
+}
+
+// advance moves a time on unless it is later already, and returns what it was before.
+func advance(p *atomic.Pointer[time.Time], at time.Time) (was *time.Time, later bool) {
 	for {
-		was := f.goodAt.Load()
+		was = p.Load()
 		if was != nil && !at.After(*was) {
-			return
+			return was, false
 		}
-		if f.goodAt.CompareAndSwap(was, &at) {
-			if was != nil {
-				f.proofGap(at.Sub(*was))
-			}
-			return
+		if p.CompareAndSwap(was, &at) {
+			return was, true
 		}
 	}
 }
 
-// ProvenAt is when the store last answered, this instance or one that feeds it; zero before
+// ConfirmedAt is when the store last answered, this instance or one that it listens to; zero before
 // the first time.
-func (f *Follower) ProvenAt() time.Time { return loaded(&f.goodAt) }
+func (f *Follower) ConfirmedAt() time.Time { return loaded(&f.confirmedAt) }
 
 // answered notes an answer of the store when what it says has been taken over: what is known
 // is at no time older than an answer that others are told of.
 func (f *Follower) answered() {
 	at := f.lastGood
 	f.answeredAt.Store(&at)
-	f.Proven(at)
+	f.Confirmed(at)
+	f.changed() // Others that read the store need not ask it so soon.
 }
 
 // AnsweredAt is when the store last answered this instance; zero before the first time.
@@ -76,8 +90,9 @@
 	return time.Time{}
 }
 
-// SetReading says whether this instance reads the store.
-func (f *Follower) SetReading(reading bool) {
+// SetReading says whether this instance reads the store, and what it knows of the others that do.
+func (f *Follower) SetReading(reading bool, group longpoll.Group) {
+	f.group.Store(&group)
 	if f.reading.Swap(reading) == reading {
 		return
 	}
@@ -93,7 +108,7 @@
 
 // idle waits until this instance is to read the store.
 func (f *Follower) idle(ctx context.Context) {
-	f.failingSince, f.retry = time.Time{}, 0
+	f.failingSince = time.Time{}
 	select {
 	case <-f.woken:
 	case <-ctx.Done():
@@ -101,7 +116,7 @@
 	}
 	// Others could not read the store, or are gone, and this instance takes over. If that
 	// was an outage, leafs that vanished meanwhile may only have lapsed.
-	f.lastGood = f.ProvenAt()
+	f.lastGood = loaded(&f.provenAt)
 	if !f.lastGood.IsZero() && time.Since(f.lastGood) >= f.opts.AwayAfter {
 		f.failingSince = f.lastGood
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -142,25 +142,8 @@
 	}
 }
 
-// afterPauseLeast is how long a watch waits at least that follows a pause: there may be
-// something new at once, and if not, the pause before has used up the cycle.
-const afterPauseLeast = 200
-
-// afterPause is how long a watch waits that follows a pause, at instances that feed others.
-func afterPause(set *settings.Node) time.Duration {
-	if !set.Peers.Feed || set.Peers.Listen == "" {
-		return 0
-	}
-	return max(set.FeedCycle()-set.Coalesce(), settings.Duration(afterPauseLeast))
-}
-
 func storeOptions(set *settings.Node) discovery.Options {
-	s := set.Store
-	return discovery.Options{
-		WatchWait: set.WatchWait(), Coalesce: set.Coalesce(), AfterPause: afterPause(set),
-		CallTimeout: settings.Duration(s.CallTimeoutMs), RetryFirst: settings.Duration(s.RetryFirstMs),
-		RetryMost: settings.Duration(s.RetryMostMs), AwayAfter: settings.Duration(s.AwayAfterMs),
-	}
+	return discovery.Options{Pace: set.Pace(), AwayAfter: settings.Duration(set.Store.AwayAfterMs)}
 }
 
 // Run serves until a stop signal and then stops gracefully.
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -9,6 +9,7 @@
 
 	"github.com/indigoyoke/indigoyoke/pkg/feed"
 	"github.com/indigoyoke/indigoyoke/pkg/front"
+	"github.com/indigoyoke/indigoyoke/pkg/longpoll"
 	"github.com/indigoyoke/indigoyoke/pkg/membership"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 	"github.com/indigoyoke/indigoyoke/pkg/peers"
@@ -57,8 +58,8 @@
 	if set.Peers.Feed {
 		n.follower.OnChange(server.Changed)
 		server.Feed(n.follower, func() bool { return n.gateway.Isolated(time.Now()) })
-		agent.Listen(n.follower, feed.Options{Fresh: set.FeedCycle() + newsLate, StartWait: set.StartWait()}, set.Peers.FirstStart)
-		n.follower.SetReading(false) // Until the agent has decided.
+		agent.Listen(n.follower, feed.Options{Fresh: set.WatchWait() + newsLate, StartWait: set.StartWait()}, set.Peers.FirstStart)
+		n.follower.SetReading(false, longpoll.Group{}) // Until the agent has decided.
 	}
 	return &peering{agent: agent, server: server}, nil
 }
--- a/pkg/peers/feeder.go
+++ b/pkg/peers/feeder.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/indigoyoke/indigoyoke/pkg/feed"
+	"github.com/indigoyoke/indigoyoke/pkg/longpoll"
 )
 
 // Store is what an instance knows of the platform's store.
@@ -20,8 +21,11 @@
 	Known() bool
 	Revision() int64
 	// ProvenAt is when the store last answered, this instance or one that feeds it.
-	ProvenAt() time.Time
+	ConfirmedAt() time.Time
+	// Proven notes that all is known which the store had published by a time, as a peer was told,
+	// and Confirmed the same as the store has told the peer itself.
 	Proven(at time.Time)
+	Confirmed(at time.Time)
 	// AnsweredAt is when it last answered this instance itself.
 	AnsweredAt() time.Time
 	// TakeFed takes over what another instance has sent.
@@ -29,8 +33,9 @@
 	// Contradicted takes over what revision the store had when it answered another
 	// instance at a time, and reports whether what was known has been dropped for it.
 	Contradicted(revision int64, at time.Time) bool
-	// SetReading says whether this instance is to read the store itself.
-	SetReading(reading bool)
+	// SetReading says whether this instance is to read the store itself, and what it knows of the
+	// others that do.
+	SetReading(reading bool, group longpoll.Group)
 }
 
 // listen asks a peer for what the store publishes after a revision.
@@ -45,7 +50,7 @@
 type news struct {
 	_        struct{} `cbor:",toarray"`
 	Revision int64
-	// AgeMs is how long ago the store last answered the peer or one that feeds it, and
+	// AgeMs is how long ago the store last answered the peer or one that it listens to, and
 	// OwnAgeMs the peer itself; unproven if it has not.
 	AgeMs, OwnAgeMs uint32
 	// Isolated: the peer is cut off from leafs so that its callers are better served by
@@ -179,7 +184,7 @@
 		sent = page.To
 	}
 	// The times first: the revision is then at least that of the answers.
-	n := news{AgeMs: age(f.store.ProvenAt()), OwnAgeMs: age(f.store.AnsweredAt())}
+	n := news{AgeMs: age(f.store.ConfirmedAt()), OwnAgeMs: age(f.store.AnsweredAt())}
 	n.Revision = f.store.Revision()
 	n.Isolated = f.isolated()
 	return sent, c.write(kindNews, n)
--- a/pkg/peers/feeds.go
+++ b/pkg/peers/feeds.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/indigoyoke/indigoyoke/pkg/feed"
+	"github.com/indigoyoke/indigoyoke/pkg/longpoll"
 	"github.com/indigoyoke/indigoyoke/pkg/membership"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 )
@@ -12,6 +13,8 @@
 type feeds struct {
 	store Store
 	plan  *feed.Plan
+	// fresh is how old the last answer of the store is at most at one that reads it well.
+	fresh time.Duration
 	// firstStart: all instances start for the first time, and know few of each other yet.
 	firstStart bool
 	// heard is what each one that is listened to has said last.
@@ -28,7 +31,7 @@
 // Listen lets the agent be fed by its peers; firstStart: all instances start for the first
 // time. It is called before Run.
 func (p *Peers) Listen(store Store, opts feed.Options, firstStart bool) {
-	p.feeds = &feeds{store: store, firstStart: firstStart, plan: feed.NewPlan(opts, time.Now()), heard: make(map[string]heard)}
+	p.feeds = &feeds{store: store, firstStart: firstStart, fresh: opts.Fresh, plan: feed.NewPlan(opts, time.Now()), heard: make(map[string]heard)}
 }
 
 // follow decides to whom this instance listens and whether it reads the store, and returns
@@ -37,20 +40,47 @@
 	if p.feeds == nil {
 		return nil
 	}
-	if p.roles.near+1 < feed.LeastMembers && (p.feeds.store.Known() || !p.feeds.firstStart && p.roles.others > 0) {
-		p.feeds.store.SetReading(true)
-		ahead := p.names(p.roles.ahead, now)
-		return ahead[:min(len(ahead), feed.Readers)]
+	store := p.feeds.store
+	if p.roles.near+1 < feed.LeastMembers && (store.Known() || !p.feeds.firstStart && p.roles.others > 0) {
+		next := append(p.names(p.roles.behind, now), p.names(p.roles.ahead, now)...)
+		listen := append(next[:min(len(next), feed.Readers)], p.farReaders(now)...)
+		store.SetReading(true, p.group(listen, now))
+		return listen
 	}
 	listen, read := p.feeds.plan.Step(feed.View{
 		Ahead: p.names(p.roles.ahead, now), Behind: p.names(p.roles.behind, now),
 		Answered: func(name string) time.Time { return p.feeds.answered(name, now) },
-		Own:      p.feeds.store.AnsweredAt(), Knows: p.feeds.store.Known(),
+		Own:      store.AnsweredAt(), Knows: store.Known(),
 	}, now)
-	p.feeds.store.SetReading(read)
+	if read {
+		listen = append(listen, p.farReaders(now)...)
+	}
+	store.SetReading(read, p.group(listen, now))
 	return listen
 }
 
+// farReaders are the peers of other zones that this instance listens to while it reads the store:
+// a zone that the store does not answer hears of it through them. An instance that knows nothing
+// yet is fed by its own zone, if it can be; mu is held.
+func (p *Peers) farReaders(now time.Time) []string {
+	if !p.feeds.store.Known() && p.roles.near > 0 {
+		return nil
+	}
+	return p.names(p.roles.far, now)
+}
+
+// group is what this instance knows of the others that read the store, given to whom it listens;
+// mu is held.
+func (p *Peers) group(listened []string, now time.Time) longpoll.Group {
+	g := longpoll.Group{Place: p.roles.place}
+	for _, name := range listened {
+		if now.Sub(p.feeds.answered(name, now)) <= p.feeds.fresh {
+			g.Heard++
+		}
+	}
+	return g
+}
+
 // Isolated reports whether those that run this instance's queries are isolated.
 //
 // An instance that hands its queries on asks no leafs, and does not notice that its zone is
@@ -65,7 +95,7 @@
 	said := false
 	for name, c := range p.conns {
 		h := p.feeds.heard[name]
-		if !c.listening || now.Sub(h.at) > newsMissed {
+		if !c.listening || c.peer.Zone != p.self.Zone || now.Sub(h.at) > newsMissed {
 			continue
 		}
 		if !h.isolated {
@@ -142,6 +172,7 @@
 		go c.listen(listen{})
 	case n.Revision <= p.feeds.store.Revision():
 		p.feeds.store.Proven(proven)
+		p.feeds.store.Confirmed(ago(n.OwnAgeMs, now))
 	}
 }
 
--- a/pkg/peers/roles.go
+++ b/pkg/peers/roles.go
@@ -2,11 +2,13 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/indigoyoke/indigoyoke/pkg/feed"
 	"github.com/indigoyoke/indigoyoke/pkg/membership"
 )
 
@@ -21,6 +23,10 @@
 	// ahead and behind are the members of the zone that come before and after this instance
 	// in the order in which they read the store.
 	ahead, behind []membership.Member
+	// far are members of other zones that read the store, one of each of the next zones.
+	far []membership.Member
+	// place is this instance's among all that read the store, greater than 0 and at most 1.
+	place float64
 	// drawn is how many gatherers the zone has, and near how many other members of it are
 	// in use.
 	drawn, near int
@@ -49,6 +55,8 @@
 		}
 	}
 	r := roles{batchers: make(map[string][]membership.Member)}
+	reading := readers(self, zones)
+	r.far, r.place = farReaders(self, reading, avoided), place(self, reading)
 	for zone, in := range zones {
 		r.others += len(in)
 		if zone == self.Zone {
@@ -58,7 +66,7 @@
 		preferred(fit, self.Name)
 		r.batchers[zone] = fit[:min(len(fit), batchersKept)]
 	}
-	order := byRoom(self, zones[self.Zone])
+	order := byRoom(self.Zone, append(slices.Clone(zones[self.Zone]), self))
 	at := slices.IndexFunc(order, func(m membership.Member) bool { return m.Name == self.Name })
 	r.ahead, r.behind = order[:at], order[at+1:]
 	drawn := slices.Clone(gatherers(order))
@@ -70,13 +78,69 @@
 	return r
 }
 
+// farZones is of how many other zones an instance that reads the store listens to one that does too.
+const farZones = 3
+
+// readers draws those members of each zone that read the store. With self the zone of this instance
+// is complete.
+func readers(self membership.Member, zones map[string][]membership.Member) map[string][]membership.Member {
+	out := make(map[string][]membership.Member, len(zones)+1)
+	for zone, in := range zones {
+		out[zone] = slices.Clone(in)
+	}
+	out[self.Zone] = append(out[self.Zone], self)
+	for zone, in := range out {
+		if len(in) >= feed.LeastMembers {
+			out[zone] = byRoom(zone, in)[:feed.Readers]
+		}
+	}
+	return out
+}
+
+// farReaders draws one reader of each of the zones that come next by name; of the readers of a zone
+// each instance prefers another one.
+func farReaders(self membership.Member, readers map[string][]membership.Member, avoided func(membership.Member) bool) []membership.Member {
+	zones := slices.Sorted(maps.Keys(readers))
+	at, _ := slices.BinarySearch(zones, self.Zone)
+	var out []membership.Member
+	for _, zone := range slices.Concat(zones[at:], zones[:at]) {
+		if zone == self.Zone || len(out) == farZones {
+			continue
+		}
+		in := slices.DeleteFunc(slices.Clone(readers[zone]), avoided)
+		preferred(in, self.Name)
+		out = append(out, in[:min(len(in), 1)]...)
+	}
+	return out
+}
+
+// place is the place of an instance among all readers by name.
+func place(self membership.Member, readers map[string][]membership.Member) float64 {
+	before, all := 0, 0
+	for _, in := range readers {
+		all += len(in)
+		before += count(in, func(m membership.Member) bool { return m.Name < self.Name })
+	}
+	return float64(before+1) / float64(max(all, before+1))
+}
+
+// count is how many members a condition holds for.
+func count(members []membership.Member, holds func(membership.Member) bool) int {
+	n := 0
+	for _, m := range members {
+		if holds(m) {
+			n++
+		}
+	}
+	return n
+}
+
 // byRoom is the order of a zone's members: those with most room first, and among equal ones
 // those that the zone prefers. All its members have the same.
-func byRoom(self membership.Member, others []membership.Member) []membership.Member {
-	all := append(slices.Clone(others), self)
-	preferred(all, self.Zone)
-	slices.SortStableFunc(all, func(a, b membership.Member) int { return cmp.Compare(b.Room, a.Room) })
-	return all
+func byRoom(zone string, members []membership.Member) []membership.Member {
+	preferred(members, zone)
+	slices.SortStableFunc(members, func(a, b membership.Member) int { return cmp.Compare(b.Room, a.Room) })
+	return members
 }
 
 // gatherers draws the gatherers of a zone from the order of its members.
@@ -109,7 +173,7 @@
 // those that it listens to.
 func (r *roles) wanted(listening map[string]bool) []membership.Member {
 	out := slices.Clone(r.gatherers)
-	for _, m := range slices.Concat(r.ahead, r.behind) {
+	for _, m := range slices.Concat(r.ahead, r.behind, r.far) {
 		if listening[m.Name] {
 			out = append(out, m)
 		}
--- a/pkg/peers/warm.go
+++ b/pkg/peers/warm.go
@@ -66,7 +66,7 @@
 // group are the instances that warm the same leafs; drawn: this one may be among those that run
 // queries.
 func group(self membership.Member, known []membership.Member, drawn bool) replica.Warming {
-	all := byRoom(self, known)
+	all := byRoom(self.Zone, append(slices.Clone(known), self))
 	out := replica.Warming{Single: names(all)}
 	if drawn {
 		out.Queries = names(gatherers(all))
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -34,13 +34,17 @@
 
 // NodeStore says where the platform's store is and how it is read.
 type NodeStore struct {
-	Address       string `yaml:"address"`
-	WatchWaitMs   int    `yaml:"watch_wait_ms"`
-	CoalesceMs    int    `yaml:"coalesce_ms"`
-	CallTimeoutMs int    `yaml:"call_timeout_ms"`
-	RetryFirstMs  int    `yaml:"retry_first_ms"`
-	RetryMostMs   int    `yaml:"retry_most_ms"`
-	AwayAfterMs   int    `yaml:"away_after_ms"`
+	Address     string `yaml:"address"`
+	WatchWaitMs int    `yaml:"watch_wait_ms"`
+	CoalesceMs  int    `yaml:"coalesce_ms"`
+	// ProofMs is how old what is known may be until the store is asked.
+	ProofMs int `yaml:"proof_ms"`
+	// FirstTimeoutMs bounds a call beyond its wait, CallTimeoutMs one that follows a failed one.
+	FirstTimeoutMs int `yaml:"first_timeout_ms"`
+	CallTimeoutMs  int `yaml:"call_timeout_ms"`
+	RetryFirstMs   int `yaml:"retry_first_ms"`
+	RetryMostMs    int `yaml:"retry_most_ms"`
+	AwayAfterMs    int `yaml:"away_after_ms"`
 }
 
 // NodeStop paces the graceful stop.
--- a/pkg/settings/nodecheck.go
+++ b/pkg/settings/nodecheck.go
@@ -11,6 +11,14 @@
 
 // Check validates every field.
 func (n *Node) Check() error {
+	if err := n.checkFields(); err != nil {
+		return err
+	}
+	return n.checkKnownWithin()
+}
+
+// checkFields validates each field for itself.
+func (n *Node) checkFields() error {
 	return firstErr(
 		required("name", n.Name),
 		required("zone", n.Zone),
@@ -26,6 +34,8 @@
 		hostPort("store.address", n.Store.Address),
 		between("store.watch_wait_ms", n.Store.WatchWaitMs, 100, 30000),
 		between("store.coalesce_ms", n.Store.CoalesceMs, 0, 10000),
+		positive("store.proof_ms", n.Store.ProofMs),
+		positive("store.first_timeout_ms", n.Store.FirstTimeoutMs),
 		positive("store.call_timeout_ms", n.Store.CallTimeoutMs),
 		positive("store.retry_first_ms", n.Store.RetryFirstMs),
 		atLeast("store.retry_most_ms", n.Store.RetryMostMs, n.Store.RetryFirstMs),
--- a/pkg/settings/nodedefaults.go
+++ b/pkg/settings/nodedefaults.go
@@ -12,10 +12,13 @@
 			// One call for all changes of that time, shortened further by the
 			// declared time for a change to be in force.
 			CoalesceMs: 2000,
-			// Some times as long as a slow store takes.
-			CallTimeoutMs: 1500,
-			RetryFirstMs:  150,
-			RetryMostMs:   1000,
+			// Shortened further by the declared times.
+			ProofMs: 1000,
+			// Twice as long as a slow store takes, and more once a call has failed.
+			FirstTimeoutMs: 750,
+			CallTimeoutMs:  1500,
+			RetryFirstMs:   150,
+			RetryMostMs:    1000,
 			// Leafs report every 1.2 s; an outage shorter than that lets no
 			// entry lapse.
 			AwayAfterMs: 1000,
--- a/pkg/settings/nodetimes.go
+++ b/pkg/settings/nodetimes.go
@@ -2,6 +2,8 @@
 
 import (
 	"time"
+
+	"github.com/indigoyoke/indigoyoke/pkg/longpoll"
 )
 
 // WatchWait is how long a watch of the store waits for a change: together with
@@ -21,24 +23,72 @@
 	return within
 }
 
-// coalescePart is the part of the time in which a change must be in force that
-// changes are collected for. The rest covers a call that times out and the one
-// after it.
-const coalescePart = 0.4
+// Parts of the time in which a change must have effect (changeMs). With them a change is known
+// within knownPart of it at any phase of the calls, one of which may never be answered; the rest is
+// for what follows from it.
+const (
+	// proofPart bounds how old what is known may be until the store is asked, and how long
+	// changes are collected.
+	proofPart = 1.0 / 3
+	// slackPart, of the former, is how much later an answer of the store may come, and
+	// spreadPart how far instances spread their questions.
+	slackPart  = 0.45
+	spreadPart = 0.2
+	// timeoutPart bounds a call, retryPart and retryMostPart the time between failed ones.
+	timeoutPart   = 0.5
+	retryPart     = 0.05
+	retryMostPart = 1.0 / 3
+	// answerPart bounds how long a slow store is expected to take for an answer.
+	answerPart = 0.1
+	knownPart  = 2.0 / 3
+)
+
+// slowAnswerMs is how long a slow store takes for an answer at most.
+const slowAnswerMs = 300
+
+// look is how long a call waits that is to tell whether the store answers: the shortest wait that
+// the store takes.
+const look = time.Millisecond
+
+// capped is a time of the settings, at most a part of the time in which a change must have effect.
+func (n *Node) capped(ms int, part float64) time.Duration {
+	return Duration(min(ms, int(part*float64(n.changeMs()))))
+}
 
 // Coalesce is the pause after a watch of the store that brought changes.
 func (n *Node) Coalesce() time.Duration {
-	return Duration(min(n.Store.CoalesceMs, int(coalescePart*float64(n.changeMs()))))
+	return min(n.capped(n.Store.CoalesceMs, proofPart), n.proof())
 }
 
-// freshPart is the part of the time in which a change must be in force that news of the
-// store may be old at those that feed others. The rest covers the next ones in line, if the
-// store turns those away.
-const freshPart = 0.4
+// proof is how old what is known of the store may be until it is asked.
+func (n *Node) proof() time.Duration { return n.capped(n.Store.ProofMs, proofPart) }
 
-// FeedCycle is how often the store answers one that feeds others, at least.
-func (n *Node) FeedCycle() time.Duration {
-	return min(n.WatchWait(), Duration(int(freshPart*float64(n.changeMs()))))
+// Pace is how the store is followed.
+func (n *Node) Pace() longpoll.Options {
+	proof := n.proof()
+	timeout := n.capped(n.Store.CallTimeoutMs, timeoutPart)
+	of := func(part float64) time.Duration { return time.Duration(part * float64(proof)) }
+	return longpoll.Options{
+		Wait: n.WatchWait(), Look: look, Pause: n.Coalesce(),
+		Proof: proof, Slack: of(slackPart), Spread: of(spreadPart),
+		TimeoutFirst: min(Duration(n.Store.FirstTimeoutMs), timeout), TimeoutMost: timeout,
+		RetryFirst: n.capped(n.Store.RetryFirstMs, retryPart), RetryMost: n.capped(n.Store.RetryMostMs, retryMostPart),
+	}
+}
+
+// KnownWithin is how late a change of the store is known at most: after its publication, or after
+// the return of a store that was away, whichever is later.
+func (n *Node) KnownWithin() time.Duration {
+	return n.Pace().Bound(n.capped(slowAnswerMs, answerPart))
+}
+
+// checkKnownWithin reports settings with which a change is known too late to have effect in time.
+func (n *Node) checkKnownWithin() error {
+	within, allowed := n.KnownWithin(), Duration(int(knownPart*float64(n.changeMs())))
+	if within <= allowed {
+		return nil
+	}
+	return invalid("declared", "the smallest of apply_ms, drain_ms and evacuate_ms is too short: changes of the store are known within %v, allowed are %v", within, allowed)
 }
 
 // StartWait is how long an instance that starts waits for peers that feed it.
