The project's own configuration and instance watches make short calls after a failure

Both watches are paced by pkg/longpoll now: after a failure a call is answered at once, the pause counts from the start of the failed one, and has a random part. A return is noticed within 2 s (bound of the settings), a call that is never answered within 6.1 s, of 14 s allowed. Failures were counted or dropped without a reason; they are logged.

--- a/pkg/configwatch/watch.go
+++ b/pkg/configwatch/watch.go
@@ -6,6 +6,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -13,17 +14,38 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/sirupsen/logrus"
 
+	"github.com/indigoyoke/indigoyoke/pkg/longpoll"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/topology"
 	"github.com/indigoyoke/indigoyoke/pkg/wire"
 )
 
-// Watch timing.
-const (
-	watchTimeout   = 5 * time.Second
-	backoffInitial = 100 * time.Millisecond
-	backoffMax     = 2 * time.Second
-)
+// pace is how the service is followed. Calls are not billed one by one, but each is work for it. A
+// change is known within the 14 s that are allowed at any phase of a call that is never answered.
+var pace = longpoll.Options{
+	Wait: 5 * time.Second, Look: time.Millisecond,
+	TimeoutFirst: time.Second, TimeoutMost: time.Second,
+	RetryFirst: 100 * time.Millisecond, RetryMost: 2 * time.Second,
+}
+
+// follow calls until ctx ends: call makes one, and reports whether it brought changes.
+func follow(ctx context.Context, log *logrus.Entry, call func(longpoll.Call) (changes bool, err error)) {
+	pacer := longpoll.New(pace, rand.Float64)
+	for ctx.Err() == nil {
+		began := time.Now()
+		changes, err := call(pacer.Next(0, longpoll.Group{Place: 1}))
+		if err == nil {
+			pacer.Answered(changes, false)
+			continue
+		}
+		if ctx.Err() != nil {
+			return
+		}
+		pause := pacer.Failed(time.Since(began))
+		log.WithFields(logrus.Fields{"error": err.Error(), "attempt": pacer.Attempts(), "retry_in_ms": pause.Milliseconds()}).Warn("watch failed")
+		service.Sleep(ctx, pause)
+	}
+}
 
 // Watcher keeps the newest deployment configuration an entry instance has
 // seen, by a long-poll watch against the configuration service. It writes
@@ -81,20 +103,14 @@
 
 // Run watches until ctx ends.
 func (w *Watcher) Run(ctx context.Context) {
-	backoff := backoffInitial
-	for ctx.Err() == nil {
-		cfg, err := w.watch(ctx, w.Version(), watchTimeout)
+	follow(ctx, w.log.WithField("watch", "configuration"), func(c longpoll.Call) (bool, error) {
+		cfg, err := w.watch(ctx, w.Version(), c)
 		if err != nil {
 			w.failed.Inc()
-			service.Sleep(ctx, backoff)
-			backoff = min(backoff*2, backoffMax)
-			continue
-		}
-		backoff = backoffInitial
-		if cfg != nil {
-			w.Offer(cfg)
+			return false, err
 		}
-	}
+		return cfg != nil && w.Offer(cfg), nil
+	})
 }
 
 // Offer puts cfg in force if it is newer than the one in force, and reports
@@ -125,18 +141,18 @@
 // change, and puts what it has in force if that is newer. It returns an
 // error when the service could not be asked.
 func (w *Watcher) Refresh(ctx context.Context) error {
-	cfg, err := w.watch(ctx, w.Version(), time.Millisecond)
+	cfg, err := w.watch(ctx, w.Version(), longpoll.Call{Wait: pace.Look, Timeout: pace.TimeoutMost})
 	if err == nil && cfg != nil {
 		w.Offer(cfg)
 	}
 	return err
 }
 
-// watch long-polls for a version newer than after, at most wait; a nil
-// configuration with no error means the watch ended with nothing newer.
-func (w *Watcher) watch(ctx context.Context, after int64, wait time.Duration) (*topology.Config, error) {
-	url := fmt.Sprintf("http://%s%s?after=%d&timeout_ms=%d&zone=%s", w.addr, wire.PathWatch, after, wait.Milliseconds(), w.zone)
-	end := time.Now().Add(wait + time.Second)
+// watch long-polls for a version newer than after; a nil configuration with no
+// error means the watch ended with nothing newer.
+func (w *Watcher) watch(ctx context.Context, after int64, c longpoll.Call) (*topology.Config, error) {
+	url := fmt.Sprintf("http://%s%s?after=%d&timeout_ms=%d&zone=%s", w.addr, wire.PathWatch, after, c.Wait.Milliseconds(), w.zone)
+	end := time.Now().Add(c.Wait + c.Timeout)
 	if d, ok := ctx.Deadline(); ok && d.Before(end) {
 		end = d
 	}
@@ -192,22 +208,22 @@
 // of changed rows and hands each row to apply, until ctx ends. Reading the
 // whole list on a timer would cost every node the whole list each period
 // (docs/CAPACITY.md); the watch costs one call per change or timeout.
-func WatchInstances(ctx context.Context, c *service.Client, addr, zone string, apply func(wire.Instance)) {
+func WatchInstances(ctx context.Context, c *service.Client, addr, zone string, log *logrus.Entry, apply func(wire.Instance)) {
 	var version int64
-	backoff := backoffInitial
-	for ctx.Err() == nil {
+	follow(ctx, log.WithField("watch", "instances"), func(call longpoll.Call) (bool, error) {
 		var d wire.InstanceDelta
-		url := fmt.Sprintf("http://%s%s?after=%d&zone=%s", addr, wire.PathInstanceWatch, version, zone)
-		status, err := c.Do(ctx, "GET", url, nil, nil, &d, time.Now().Add(watchTimeout+time.Second))
-		if err != nil || status != 200 {
-			service.Sleep(ctx, backoff)
-			backoff = min(backoff*2, backoffMax)
-			continue
+		url := fmt.Sprintf("http://%s%s?after=%d&timeout_ms=%d&zone=%s", addr, wire.PathInstanceWatch, version, call.Wait.Milliseconds(), zone)
+		status, err := c.Do(ctx, "GET", url, nil, nil, &d, time.Now().Add(call.Wait+call.Timeout))
+		if err == nil && status != 200 {
+			err = fmt.Errorf("instance watch: status %d", status)
+		}
+		if err != nil {
+			return false, err
 		}
-		backoff = backoffInitial
 		for _, row := range d.Rows {
 			apply(row)
 		}
 		version = d.Version
-	}
+		return len(d.Rows) > 0, nil
+	})
 }
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -115,7 +115,7 @@
 	// The watches are not waited for at stop: they write nothing, and
 	// their long polls end by themselves within the watch timeout.
 	go e.watcher.Run(ctx)
-	go configwatch.WatchInstances(ctx, e.platformHTTP, e.set.Platform, e.set.Zone, e.followInstance)
+	go configwatch.WatchInstances(ctx, e.platformHTTP, e.set.Platform, e.set.Zone, e.log, e.followInstance)
 	e.wg.Add(1)
 	go func() { defer e.wg.Done(); e.runTicks(ctx) }()
 	if e.relay != nil {
--- a/pkg/node/store_test.go
+++ b/pkg/node/store_test.go
@@ -59,6 +59,28 @@
 	}
 }
 
+// Guards against: instances that start while the store is away, and learn of its return late.
+func TestInstancesThatStartInAnOutageKnowSoonAfterIt(t *testing.T) {
+	for deployment, set := range simDeployments() {
+		for fleet, sources := range simFleets() {
+			t.Run(deployment+" "+fleet, func(t *testing.T) {
+				for seed := range *simSeeds {
+					synctest.Test(t, func(t *testing.T) {
+						rng := rand.New(rand.NewPCG(seed, 2))
+						f := newSimFleet(set, sources, simWay)
+						mode := []storeMode{storeSilent, storeRefusing, storeLossy}[rng.IntN(3)]
+						f.store.fail(mode, f.store.swallow, time.Duration(rng.Int64N(int64(9*time.Second))))
+						f.store.do(f.store.write)
+						time.Sleep(6 * time.Second)
+						f.end()
+						f.requireKnown(t, "seed", seed, "mode", mode)
+					})
+				}
+			})
+		}
+	}
+}
+
 // playOutages lets the store fail some times, with changes before and after, and says how.
 func playOutages(f *simFleet, rng *rand.Rand) string {
 	time.Sleep(4 * time.Second)
--- a/pkg/standin/configservice/instances.go
+++ b/pkg/standin/configservice/instances.go
@@ -88,7 +88,7 @@
 		return
 	}
 	after, _ := strconv.Atoi(string(c.Query("after")))
-	deadline := time.Now().Add(settings.Duration(p.set.WatchTimeoutMs))
+	deadline := time.Now().Add(p.watchTimeout(c))
 	defer p.noteWaiting(after)()
 	tick := time.NewTicker(instancePoll)
 	defer tick.Stop()
--- a/pkg/standin/configservice/reads.go
+++ b/pkg/standin/configservice/reads.go
@@ -25,15 +25,20 @@
 	c.JSON(200, wire.ConfigReply{Version: cfg.Version, Config: cfg})
 }
 
+// watchTimeout is how long a watch waits: as it asks, and as long as any at most.
+func (p *Server) watchTimeout(c *app.RequestContext) time.Duration {
+	if ms, err := strconv.Atoi(string(c.Query("timeout_ms"))); err == nil && ms > 0 && ms < p.set.WatchTimeoutMs {
+		return settings.Duration(ms)
+	}
+	return settings.Duration(p.set.WatchTimeoutMs)
+}
+
 func (p *Server) handleWatch(ctx context.Context, c *app.RequestContext) {
 	if p.partitioned(ctx, c) {
 		return
 	}
 	after, _ := strconv.ParseInt(string(c.Query("after")), 10, 64)
-	timeout := settings.Duration(p.set.WatchTimeoutMs)
-	if ms, err := strconv.Atoi(string(c.Query("timeout_ms"))); err == nil && ms > 0 && ms < p.set.WatchTimeoutMs {
-		timeout = settings.Duration(ms)
-	}
+	timeout := p.watchTimeout(c)
 	cfg, changed, code := p.served()
 	if code != errcode.OK {
 		refuse(c, code)
