--- a/pkg/entry/plan.go
+++ b/pkg/entry/plan.go
@@ -109,11 +109,7 @@
 			e.table.Remove(name, now)
 		}
 	}
-	for _, zone := range e.table.Evacuated() {
-		if !slices.Contains(cfg.Evacuated, zone) {
-			e.gateway.SetEvacuated(zone, false)
-		}
-	}
+	e.gateway.ReadmitExcept(func(zone string) bool { return slices.Contains(cfg.Evacuated, zone) })
 	for _, zone := range cfg.Evacuated {
 		e.gateway.SetEvacuated(zone, true)
 	}
--- a/pkg/gateway/evacuation.go
+++ b/pkg/gateway/evacuation.go
@@ -32,6 +32,15 @@
 	g.log.State("zone_evacuated", oplog.Fields{"evacuated_zone": zone, "in_flight": inFlight})
 }
 
+// ReadmitExcept takes back the evacuated zones for which a condition does not hold.
+func (g *Gateway) ReadmitExcept(evacuated func(zone string) bool) {
+	for _, zone := range g.table.Evacuated() {
+		if !evacuated(zone) {
+			g.SetEvacuated(zone, false)
+		}
+	}
+}
+
 // noticeEmptied notes the evacuated zones in which no request is in flight any more.
 func (g *Gateway) noticeEmptied(now time.Time) {
 	g.evacuations.mu.Lock()
--- a/pkg/node/sink.go
+++ b/pkg/node/sink.go
@@ -51,18 +51,15 @@
 	}
 }
 
-// Listed implements discovery.Sink.
+// Listed implements discovery.Sink. A listing may be older than what a peer has told: it takes zones
+// back, and ZoneEvacuated alone evacuates them.
 func (n *Node) Listed(l discovery.Listing) {
 	for _, id := range n.table.IDs() {
 		if !l.Leafs[id] {
 			n.LeafGone(id)
 		}
 	}
-	for _, zone := range n.table.Evacuated() {
-		if !l.Evacuated[zone] {
-			n.ZoneEvacuated(zone, false)
-		}
-	}
+	n.gateway.ReadmitExcept(func(zone string) bool { return l.Evacuated[zone] })
 }
 
 // ConfigSeen implements discovery.Sink.
--- a/pkg/peers/batches.go
+++ b/pkg/peers/batches.go
@@ -93,37 +93,39 @@
 	}
 }
 
-// start sends the request to one leaf.
+// start sends the request to one leaf, unless something that this instance knows forbids it.
 func (w *work) start(i int) {
 	w.c.s.Calls.Add(1)
-	leaf := w.leaf(i)
-	if leaf.Draining {
-		w.replies <- done{leaf: i, reply: gateway.LeafReply{Outcome: replica.PeerRefused, Err: errDraining}}
-		return
+	leaf, began := w.leaf(i), time.Now()
+	err := w.refusal(leaf, began)
+	if err == nil {
+		call := gateway.LeafCall{Leaf: leaf, Request: w.req, Deadline: w.deadline}
+		err = w.c.s.pool.Submit(func() {
+			reply := w.c.s.leafs.Do(w.ctx, call)
+			w.replies <- done{leaf: i, reply: reply, took: time.Since(began)}
+		})
 	}
-	began := time.Now()
-	if w.c.s.table.IsEvacuated(leaf.Zone) {
-		w.replies <- done{leaf: i, reply: gateway.LeafReply{Outcome: replica.PeerRefused, Err: errEvacuated}}
-		return
-	}
-	if w.c.s.table.Guarded(leaf.ID, began) {
-		w.replies <- done{leaf: i, reply: gateway.LeafReply{Outcome: replica.PeerRefused, Err: errCold}}
-		return
-	}
-	if w.c.s.quarantine != nil && w.c.s.quarantine.Left(w.req.Key, began) > 0 {
-		w.replies <- done{leaf: i, reply: gateway.LeafReply{Outcome: replica.PeerRefused, Err: errQuarantined}}
-		return
-	}
-	call := gateway.LeafCall{Leaf: leaf, Request: w.req, Deadline: w.deadline}
-	err := w.c.s.pool.Submit(func() {
-		reply := w.c.s.leafs.Do(w.ctx, call)
-		w.replies <- done{leaf: i, reply: reply, took: time.Since(began)}
-	})
 	if err != nil {
 		w.replies <- done{leaf: i, reply: gateway.LeafReply{Outcome: replica.PeerRefused, Err: err}}
 	}
 }
 
+// refusal is why the request must not be sent to a leaf, nil where it may be.
+func (w *work) refusal(leaf replica.Leaf, now time.Time) error {
+	s := w.c.s
+	switch {
+	case leaf.Draining:
+		return errDraining
+	case s.table.IsEvacuated(leaf.Zone):
+		return errEvacuated
+	case s.table.Guarded(leaf.ID, now):
+		return errCold
+	case s.quarantine != nil && s.quarantine.Left(w.req.Key, now) > 0:
+		return errQuarantined
+	}
+	return nil
+}
+
 // errQuarantined: this instance has heard that the request ends leafs.
 var errQuarantined = errors.New("the request is quarantined")
 
--- a/pkg/peers/warm.go
+++ b/pkg/peers/warm.go
@@ -39,7 +39,9 @@
 		w.settledAt, w.drawnAt = time.Time{}, time.Time{}
 	}
 	w.steppedAt = now
-	since(&w.settledAt, 2*(r.near+1) > present(members, self.Zone)+1 && (len(members) > 0 || !w.expectsPeers), now)
+	// Members of the zone that have not left count, whatever is believed of them.
+	present := count(members, func(m membership.Member) bool { return m.Zone == self.Zone && m.Status != membership.Left })
+	since(&w.settledAt, 2*(r.near+1) > present+1 && (len(members) > 0 || !w.expectsPeers), now)
 	since(&w.drawnAt, len(r.gatherers) == 0, now)
 	if !w.expectsPeers && len(members) == 0 {
 		return replica.Warmers{Alone: 1}
@@ -83,18 +85,6 @@
 	return out
 }
 
-// present is how many other members of a zone are known that have not left, whatever is believed
-// of them.
-func present(members []membership.Member, zone string) int {
-	n := 0
-	for _, m := range members {
-		if m.Zone == zone && m.Status != membership.Left {
-			n++
-		}
-	}
-	return n
-}
-
 // since keeps since when a condition holds; zero: it does not.
 func since(at *time.Time, holds bool, now time.Time) {
 	switch {
--- a/pkg/replica/cold.go
+++ b/pkg/replica/cold.go
@@ -163,8 +163,13 @@
 // learnCold takes over how much longer the leaf says that it is cold.
 func (r *row) learnCold(cold time.Duration, now time.Time) {
 	r.coldUntil = now.Add(cold)
-	if r.assumedCold.After(r.coldUntil) {
-		r.coldUntil = r.assumedCold
+	r.coldAtLeastUntil(r.assumedCold)
+}
+
+// coldAtLeastUntil lets the leaf count as cold until a time, if it does not for longer.
+func (r *row) coldAtLeastUntil(at time.Time) {
+	if at.After(r.coldUntil) {
+		r.coldUntil = at
 	}
 }
 
@@ -177,9 +182,7 @@
 			continue
 		}
 		r.assumedCold = now.Add(limit.For)
-		if r.assumedCold.After(r.coldUntil) {
-			r.coldUntil = r.assumedCold
-		}
+		r.coldAtLeastUntil(r.assumedCold)
 	}
 }
 
