--- a/pkg/peers/feeds.go
+++ b/pkg/peers/feeds.go
@@ -172,7 +172,9 @@
 		go c.listen(listen{})
 	case n.Revision <= p.feeds.store.Revision():
 		p.feeds.store.Proven(proven)
-		p.feeds.store.Confirmed(ago(n.OwnAgeMs, now))
+		if answered := ago(n.OwnAgeMs, now); !answered.IsZero() {
+			p.feeds.store.Confirmed(answered)
+		}
 	}
 }
 
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -62,9 +62,10 @@
 	dialing map[string]bool
 	avoid   map[string]time.Time
 
-	// roles is who works for whom, drawn anew each tick.
-	roles roles
-	slack slackShare
+	// roles is who works for whom, looked at each tick.
+	roles  roles
+	drawer roleDrawer
+	slack  slackShare
 	// feeds is nil where this instance reads the store by itself.
 	feeds *feeds
 	// quarantine knows the requests that end leafs; nil: nothing is told of them.
@@ -227,7 +228,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	self, members := p.members.Self(), p.members.Members()
-	p.roles = drawRoles(self, members, func(m membership.Member) bool { return now.Before(p.avoid[m.Name]) })
+	p.roles = p.drawer.draw(self, members, func(m membership.Member) bool { return now.Before(p.avoid[m.Name]) })
 	if p.shared != nil {
 		p.shared(p.slack.share(p.roles, members, self.Zone, now))
 	}
--- a/pkg/peers/roles.go
+++ b/pkg/peers/roles.go
@@ -46,6 +46,36 @@
 	gatherersLeast = 2
 )
 
+// roleDrawer draws the roles anew when something changes that they depend on.
+type roleDrawer struct {
+	of    []candidate
+	drawn roles
+}
+
+// candidate is a member as the roles depend on it.
+type candidate struct {
+	membership.Member
+	avoided bool
+}
+
+// draw is drawRoles, which costs far more than to see that nothing has changed.
+func (d *roleDrawer) draw(self membership.Member, members []membership.Member, avoided func(membership.Member) bool) roles {
+	of := make([]candidate, 0, len(members)+1)
+	of = append(of, candidate{Member: self})
+	for _, m := range members {
+		if m.Usable() {
+			of = append(of, candidate{Member: m, avoided: avoided(m)})
+		}
+	}
+	for i := range of {
+		of[i].Incarnation = 0 // It rises while nothing else changes.
+	}
+	if !slices.Equal(of, d.of) {
+		d.of, d.drawn = of, drawRoles(self, members, avoided)
+	}
+	return d.drawn
+}
+
 // drawRoles draws the roles among the members in use that are not to be avoided.
 func drawRoles(self membership.Member, members []membership.Member, avoided func(membership.Member) bool) roles {
 	zones := make(map[string][]membership.Member)
