--- a/pkg/node/store_test.go
+++ b/pkg/node/store_test.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/indigoyoke/indigoyoke/pkg/settings"
 )
 
 // simSeeds is how many seeds of each kind are played.
@@ -17,68 +19,65 @@
 // simWay is how long a message between instances takes.
 const simWay = 2 * time.Millisecond
 
-// Guards against: a configuration that is late because the one call that is open is never answered.
-func TestSwallowedCallDelaysNoConfiguration(t *testing.T) {
+// eachFleet runs a test for each kind of deployment and fleet.
+func eachFleet(t *testing.T, test func(t *testing.T, set *settings.Node, sources [][]int)) {
 	for deployment, set := range simDeployments() {
 		for fleet, sources := range simFleets() {
-			t.Run(deployment+" "+fleet, func(t *testing.T) {
-				for phase := time.Duration(0); phase < 4*time.Second; phase += 190 * time.Millisecond {
-					synctest.Test(t, func(t *testing.T) {
-						f := newSimFleet(set, sources, simWay)
-						time.Sleep(6*time.Second + phase)
-						f.store.do(f.store.swallow)
-						f.store.do(f.store.write)
-						time.Sleep(10 * time.Second)
-						f.end()
-						f.requireKnown(t, "phase", phase)
-					})
-				}
-			})
+			t.Run(deployment+" "+fleet, func(t *testing.T) { test(t, set, sources) })
 		}
 	}
 }
 
+// eachSeed runs a test for each kind of deployment and fleet with some seeds, in virtual time. The
+// instances start with it.
+func eachSeed(t *testing.T, test func(t *testing.T, f *simFleet, seed uint64, rng *rand.Rand)) {
+	eachFleet(t, func(t *testing.T, set *settings.Node, sources [][]int) {
+		for seed := range *simSeeds {
+			synctest.Test(t, func(t *testing.T) {
+				test(t, newSimFleet(set, sources, simWay), seed, rand.New(rand.NewPCG(seed, 1)))
+			})
+		}
+	})
+}
+
+// Guards against: a configuration that is late because the one call that is open is never answered.
+func TestSwallowedCallDelaysNoConfiguration(t *testing.T) {
+	eachFleet(t, func(t *testing.T, set *settings.Node, sources [][]int) {
+		for phase := time.Duration(0); phase < 4*time.Second; phase += 190 * time.Millisecond {
+			synctest.Test(t, func(t *testing.T) {
+				f := newSimFleet(set, sources, simWay)
+				time.Sleep(6*time.Second + phase)
+				f.store.do(f.store.swallow)
+				f.store.do(f.store.write)
+				time.Sleep(10 * time.Second)
+				f.end()
+				f.requireKnown(t, "phase", phase)
+			})
+		}
+	})
+}
+
 // Guards against: a configuration that is late because calls that fell into an outage of the store
 // are still waited for when it is back.
 func TestConfigurationsAreKnownSoonAfterAnOutage(t *testing.T) {
-	for deployment, set := range simDeployments() {
-		for fleet, sources := range simFleets() {
-			t.Run(deployment+" "+fleet, func(t *testing.T) {
-				for seed := range *simSeeds {
-					synctest.Test(t, func(t *testing.T) {
-						rng := rand.New(rand.NewPCG(seed, 1))
-						f := newSimFleet(set, sources, simWay)
-						f.store.answer = []time.Duration{4, 50, 240}[rng.IntN(3)] * time.Millisecond
-						what := playOutages(f, rng)
-						f.end()
-						f.requireKnown(t, "seed", seed, what)
-					})
-				}
-			})
-		}
-	}
+	eachSeed(t, func(t *testing.T, f *simFleet, seed uint64, rng *rand.Rand) {
+		f.store.answer = []time.Duration{4, 50, 240}[rng.IntN(3)] * time.Millisecond
+		what := playOutages(f, rng)
+		f.end()
+		f.requireKnown(t, "seed", seed, what)
+	})
 }
 
 // Guards against: instances that start while the store is away, and learn of its return late.
 func TestInstancesThatStartInAnOutageKnowSoonAfterIt(t *testing.T) {
-	for deployment, set := range simDeployments() {
-		for fleet, sources := range simFleets() {
-			t.Run(deployment+" "+fleet, func(t *testing.T) {
-				for seed := range *simSeeds {
-					synctest.Test(t, func(t *testing.T) {
-						rng := rand.New(rand.NewPCG(seed, 2))
-						f := newSimFleet(set, sources, simWay)
-						mode := []storeMode{storeSilent, storeRefusing, storeLossy}[rng.IntN(3)]
-						f.store.fail(mode, f.store.swallow, time.Duration(rng.Int64N(int64(9*time.Second))))
-						f.store.do(f.store.write)
-						time.Sleep(6 * time.Second)
-						f.end()
-						f.requireKnown(t, "seed", seed, "mode", mode)
-					})
-				}
-			})
-		}
-	}
+	eachSeed(t, func(t *testing.T, f *simFleet, seed uint64, rng *rand.Rand) {
+		mode := []storeMode{storeSilent, storeRefusing, storeLossy}[rng.IntN(3)]
+		f.store.fail(mode, f.store.swallow, time.Duration(rng.Int64N(int64(9*time.Second))))
+		f.store.do(f.store.write)
+		time.Sleep(6 * time.Second)
+		f.end()
+		f.requireKnown(t, "seed", seed, "mode", mode)
+	})
 }
 
 // playOutages lets the store fail some times, with changes before and after, and says how.
