--- a/pkg/node/store_test.go
+++ b/pkg/node/store_test.go
@@ -61,7 +61,7 @@
 // are still waited for when it is back.
 func TestConfigurationsAreKnownSoonAfterAnOutage(t *testing.T) {
 	eachSeed(t, func(t *testing.T, f *simFleet, seed uint64, rng *rand.Rand) {
-		f.store.answer = []time.Duration{4, 50, 240}[rng.IntN(3)] * time.Millisecond
+		f.store.do(func() { f.store.answer = []time.Duration{4, 50, 240}[rng.IntN(3)] * time.Millisecond })
 		what := playOutages(f, rng)
 		f.end()
 		f.requireKnown(t, "seed", seed, what)
--- a/pkg/node/storesim_test.go
+++ b/pkg/node/storesim_test.go
@@ -27,9 +27,7 @@
 	storeState
 	// confirmed is when each version was written.
 	confirmed map[int64]time.Time
-	// answer is how long an answer takes.
-	answer time.Duration
-	calls  int
+	calls     int
 	// disturbedUntil is when the last disturbance ended.
 	disturbedUntil time.Time
 }
@@ -43,6 +41,8 @@
 	// floor is the oldest revision from which a watch can go on. deaf: open watches hear nothing.
 	floor int64
 	deaf  bool
+	// answer is how long an answer takes.
+	answer time.Duration
 	// changed is closed at the next change of this.
 	changed chan struct{}
 }
@@ -65,8 +65,8 @@
 
 func newSimStore() *simStore {
 	return &simStore{
-		storeState: storeState{revision: 1, changed: make(chan struct{})},
-		confirmed:  map[int64]time.Time{}, answer: 4 * time.Millisecond,
+		storeState: storeState{revision: 1, answer: 4 * time.Millisecond, changed: make(chan struct{})},
+		confirmed:  map[int64]time.Time{},
 	}
 }
 
@@ -136,7 +136,7 @@
 		<-ctx.Done()
 		return at, ctx.Err()
 	case storeRefusing:
-		time.Sleep(s.answer)
+		time.Sleep(at.answer)
 		return at, errStoreBusy
 	case storeLossy:
 		if call%3 == 0 {
@@ -149,7 +149,7 @@
 
 // finish is the way of an answer back to the caller.
 func (s *simStore) finish(ctx context.Context, began storeState) error {
-	time.Sleep(s.answer)
+	time.Sleep(began.answer)
 	if now := s.state(); now.epoch != began.epoch || now.mode == storeSilent {
 		<-ctx.Done()
 	}
