--- a/pkg/longpoll/longpoll.go
+++ b/pkg/longpoll/longpoll.go
@@ -38,7 +38,7 @@
 func (o Options) Bound(answer time.Duration) time.Duration {
 	stale := o.Wait + o.TimeoutFirst + o.RetryFirst
 	if o.Proof > 0 {
-		stale = o.Proof + o.Slack + o.Spread
+		stale = max(o.Proof, o.Pause) + o.Slack + o.Spread
 	}
 	// The call that was made just before the service came back.
 	hung := o.Look + o.TimeoutMost + o.RetryFirst
@@ -60,11 +60,11 @@
 	random func() float64
 	// look: the next call is to tell at once whether the service answers.
 	look bool
-	// inStep: others may have been woken at the same moment. alike: this one's answers come at about
-	// the time of others', and a gap is left between them.
-	inStep, alike bool
-	failed        int
-	retry         time.Duration
+	// inStep: others may have been woken at the same moment. bunched: a gap was left between the
+	// answers of all, because some come at about the same time.
+	inStep, bunched bool
+	failed          int
+	retry           time.Duration
 }
 
 // New returns the pacer of an instance that has made no call yet.
@@ -95,10 +95,10 @@
 	switch {
 	case p.inStep:
 		wait = o.Look + time.Duration(group.Place*float64(wait-o.Look))
-	case p.alike:
+	case p.bunched:
 		wait -= min(wait, o.Proof) / 2
 	}
-	p.inStep, p.alike = false, false
+	p.inStep, p.bunched = false, false
 	c := Call{Wait: wait, Timeout: p.timeout()}
 	if o.Proof > 0 {
 		c.Stale = o.Proof + o.Slack + p.part(o.Spread)
@@ -122,7 +122,7 @@
 // Answered notes a call that was answered, with changes or without, and returns how long to pause.
 // more: there are changes left that did not fit into the answer.
 func (p *Pacer) Answered(changes, more bool) time.Duration {
-	p.alike = p.look && p.failed == 0
+	p.bunched = p.look && p.failed == 0
 	p.inStep = p.inStep || p.failed > 0 || changes
 	p.look, p.failed, p.retry = false, 0, 0
 	if !changes || more {
