--- a/pkg/feed/plan.go
+++ b/pkg/feed/plan.go
@@ -16,9 +16,8 @@
 	// Readers is how many instances of a zone read the store: one, and another for when it
 	// fails.
 	Readers = 2
-	// LeastMembers is how many instances a zone has at least for feeding to save calls:
-	// readers look at the store twice as often as instances that each read for
-	// themselves.
+	// LeastMembers is how many instances a zone has at least for a few to read for all. In
+	// smaller ones each reads for itself.
 	LeastMembers = 2*Readers + 1
 	// grace is how long one that is newly listened to may take to have news of the store: a
 	// connection, and a call to a slow store (0.4 s).
