Log to whom an instance listens, and each page that it is fed

The lines of the incident could not tell whether a peer had sent what an instance lacked: only full pages were logged, and nobody said whom it had asked and from which revision.

--- a/pkg/discovery/fed.go
+++ b/pkg/discovery/fed.go
@@ -148,9 +148,7 @@
 		f.sink.Listed(listing)
 	}
 	f.mu.Unlock()
-	if p.Full {
-		f.log.State("store_fed", oplog.Fields{"revision": p.To, "entries": len(p.Items), "new": len(fresh)})
-	}
+	f.log.State("store_fed", oplog.Fields{"full": p.Full, "from": p.From, "revision": p.To, "entries": len(p.Items), "new": len(fresh)})
 	if len(fresh) > 0 {
 		f.changed()
 	}
--- a/pkg/peers/feeds.go
+++ b/pkg/peers/feeds.go
@@ -142,7 +142,9 @@
 		unheard := c.listening && now.Sub(p.feeds.heard[name].at) > listenAgain && now.Sub(c.listenedAt) > listenAgain
 		if names[name] != c.listening || (names[name] && unheard) {
 			c.listening, c.listenedAt = names[name], now
-			go c.listen(listen{After: p.feeds.store.Revision(), Stop: !names[name]})
+			l := listen{After: p.feeds.store.Revision(), Stop: !names[name]}
+			p.log.Decision("feed_asked", oplog.Fields{"peer": name, "after": l.After, "stop": l.Stop, "silent": unheard})
+			go c.listen(l)
 		}
 	}
 }
@@ -169,6 +171,7 @@
 	switch {
 	case proven.IsZero():
 	case p.feeds.store.Contradicted(n.Revision, proven):
+		p.log.Decision("feed_asked", oplog.Fields{"peer": c.peer.Name, "after": 0, "contradicted": true})
 		go c.listen(listen{})
 	case n.Revision <= p.feeds.store.Revision():
 		p.feeds.store.Proven(proven)
