--- a/pkg/node/store_test.go
+++ b/pkg/node/store_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/indigoyoke/indigoyoke/pkg/feed"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
 )
 
@@ -112,6 +113,63 @@
 	return what
 }
 
+// Guards against: changes that are missed for good, or late, after the store has lost what it had
+// acknowledged and gives out its revisions again.
+func TestRestoredStoreIsKnownSoon(t *testing.T) {
+	eachSeed(t, func(t *testing.T, f *simFleet, seed uint64, rng *rand.Rand) {
+		f.store.do(func() { f.store.answer = []time.Duration{4, 50, 240}[rng.IntN(3)] * time.Millisecond })
+		what := playRestores(f, rng)
+		f.end()
+		f.requireKnown(t, "seed", seed, what)
+		f.requireLeafs(t, "seed", seed, what)
+	})
+}
+
+// playRestores lets the store be restored some times, from copies of any age, and all that was lost be
+// written again at any speed and in any order; it says how.
+func playRestores(f *simFleet, rng *rand.Rand) string {
+	leafs := func(n int) {
+		for range n {
+			f.store.put(feed.Item{Key: fmt.Sprint("leaf-", rng.IntN(30)), Deleted: rng.IntN(4) == 0})
+		}
+	}
+	f.store.do(func() { leafs(40) })
+	time.Sleep(4 * time.Second)
+	what := ""
+	for range 1 + rng.IntN(3) {
+		for range rng.IntN(4) {
+			sleepRandom(rng, time.Second)
+			f.store.do(f.store.write)
+			f.store.do(func() { leafs(rng.IntN(6)) })
+		}
+		sleepRandom(rng, 2*time.Second)
+		away := []time.Duration{0, 0, time.Duration(rng.Int64N(int64(4 * time.Second)))}[rng.IntN(3)]
+		open := []func(){f.store.keep, f.store.cut, f.store.swallow}[rng.IntN(3)]
+		back := rng.IntN(25)
+		what += fmt.Sprint(" back by ", back, " after ", away)
+		if away > 0 {
+			f.store.fail([]storeMode{storeSilent, storeRefusing, storeLossy}[rng.IntN(3)], open, away)
+		}
+		var lost []feed.Item
+		f.store.do(func() {
+			lost = f.store.restore(back)
+			open()
+		})
+		rng.Shuffle(len(lost), func(i, j int) { lost[i], lost[j] = lost[j], lost[i] })
+		pace := []time.Duration{0, 5 * time.Millisecond, 100 * time.Millisecond}[rng.IntN(3)]
+		for _, it := range lost {
+			time.Sleep(pace)
+			f.store.do(func() { f.store.again(it) })
+		}
+		f.store.do(func() { leafs(rng.IntN(40)) })
+		if rng.IntN(4) == 0 {
+			f.store.loseHistory(time.Second)
+		}
+	}
+	time.Sleep(8 * time.Second)
+	return what
+}
+
 // Guards against: instances that tell each other what they were told, and so never see that the
 // store has been silent to all of them.
 func TestWordsOfEachOtherAreNoAnswerOfTheStore(t *testing.T) {
--- a/pkg/node/storesim_test.go
+++ b/pkg/node/storesim_test.go
@@ -4,7 +4,11 @@
 	"context"
 	"errors"
 	"io"
+	"iter"
+	"maps"
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"sync"
 	"testing"
 	"time"
@@ -20,12 +24,14 @@
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
 )
 
-// simStore is the platform's store in virtual time: a counter whose value is the version of the
-// configuration.
+// simStore is the platform's store in virtual time.
 type simStore struct {
 	mu sync.Mutex
 	storeState
-	// confirmed is when each version was written.
+	// history is all that was written.
+	history []feed.Item
+	// version is that of the newest configuration, and confirmed when each one was written.
+	version   int64
 	confirmed map[int64]time.Time
 	calls     int
 	// disturbedUntil is when the last disturbance ended.
@@ -35,7 +41,9 @@
 // storeState is what calls depend on.
 type storeState struct {
 	revision int64
-	mode     storeMode
+	// era rises when the store is restored from a copy.
+	era  int64
+	mode storeMode
 	// epoch rises when all calls that are open are never answered, cuts when they are ended.
 	epoch, cuts int
 	// floor is the oldest revision from which a watch can go on. deaf: open watches hear nothing.
@@ -64,10 +72,72 @@
 )
 
 func newSimStore() *simStore {
-	return &simStore{
-		storeState: storeState{revision: 1, answer: 4 * time.Millisecond, changed: make(chan struct{})},
+	s := &simStore{
+		storeState: storeState{answer: 4 * time.Millisecond, changed: make(chan struct{})},
 		confirmed:  map[int64]time.Time{},
 	}
+	s.put(feed.Item{Key: simConfig, Raw: []byte("0")})
+	return s
+}
+
+// simConfig is the key of the configuration; all others are leafs.
+const simConfig = "config"
+
+// put writes an entry.
+func (s *simStore) put(it feed.Item) {
+	s.revision++
+	it.Revision = s.revision
+	s.history = append(s.history, it)
+}
+
+// items are the entries as of now.
+func (s *simStore) items() map[string]feed.Item {
+	out := map[string]feed.Item{}
+	for _, it := range s.history {
+		out[it.Key] = it
+	}
+	maps.DeleteFunc(out, func(_ string, it feed.Item) bool { return it.Deleted })
+	return out
+}
+
+// restore goes back by some changes. It returns the last entry of each key that is lost.
+func (s *simStore) restore(back int) []feed.Item {
+	kept := max(1, len(s.history)-back)
+	lost := map[string]feed.Item{}
+	for _, it := range s.history[kept:] {
+		lost[it.Key] = it
+	}
+	s.history = slices.Clone(s.history[:kept])
+	s.revision = s.history[kept-1].Revision
+	s.era++
+	s.disturbedUntil = time.Now()
+	return slices.Collect(maps.Values(lost))
+}
+
+// again writes an entry that was lost, unless its writer has written a later one.
+func (s *simStore) again(it feed.Item) {
+	if it.Key == simConfig {
+		if _, version := s.config(); version >= versionOf(it) {
+			return
+		}
+		s.confirmed[versionOf(it)] = time.Now()
+	}
+	s.put(it)
+}
+
+// config is the entry of the configuration, and its version.
+func (s *simStore) config() (feed.Item, int64) {
+	it := s.items()[simConfig]
+	return it, versionOf(it)
+}
+
+// versionOf is the version of a configuration.
+func versionOf(it feed.Item) int64 {
+	version, err := strconv.ParseInt(string(it.Raw), 10, 64)
+	if err != nil {
+		panic(err)
+	}
+	return version
 }
 
 // do changes the store and wakes the calls that wait.
@@ -81,8 +151,9 @@
 
 // write publishes another version.
 func (s *simStore) write() {
-	s.revision++
-	s.confirmed[s.revision] = time.Now()
+	s.version++
+	s.put(feed.Item{Key: simConfig, Raw: strconv.AppendInt(nil, s.version, 10)})
+	s.confirmed[s.version] = time.Now()
 }
 
 // swallow leaves the calls that are open without an answer, cut ends them, keep does nothing.
@@ -156,22 +227,50 @@
 	return ctx.Err()
 }
 
-func (s *simStore) event(revision int64) discovery.Event {
-	return s.Decode(feed.Item{Key: "config", Revision: revision})
-}
-
 // Decode implements discovery.Source.
 func (s *simStore) Decode(it feed.Item) discovery.Event {
-	return discovery.Event{Item: it, Config: routing.NewConfig(it.Revision, nil, nil, routing.Limits{})}
+	e := discovery.Event{Item: it}
+	switch {
+	case it.Key == simConfig:
+		e.Config = routing.NewConfig(versionOf(it), nil, nil, routing.Limits{})
+	case it.Deleted:
+		e.GoneLeaf = it.Key
+	default:
+		e.Leaf = &replica.Leaf{ID: it.Key}
+	}
+	return e
+}
+
+// page is the answer to a call: some entries, and where the store is.
+func (s *simStore) page(items iter.Seq[feed.Item]) discovery.Page {
+	p := discovery.Page{Revision: s.revision}
+	for it := range items {
+		p.Events = append(p.Events, s.Decode(it))
+	}
+	return p
+}
+
+// after are the changes after a revision.
+func (s *simStore) after(revision int64) iter.Seq[feed.Item] {
+	return func(yield func(feed.Item) bool) {
+		for _, it := range s.history {
+			if it.Revision > revision && !yield(it) {
+				return
+			}
+		}
+	}
 }
 
 // List implements discovery.Source.
 func (s *simStore) List(ctx context.Context, _ string) (discovery.Page, error) {
 	began, err := s.begin(ctx)
-	if err == nil {
-		err = s.finish(ctx, began)
+	if err != nil {
+		return discovery.Page{}, err
 	}
-	return discovery.Page{Revision: began.revision, Events: []discovery.Event{s.event(began.revision)}}, err
+	s.mu.Lock()
+	page := s.page(maps.Values(s.items()))
+	s.mu.Unlock()
+	return page, s.finish(ctx, began)
 }
 
 // Watch implements discovery.Source.
@@ -184,17 +283,20 @@
 	defer timer.Stop()
 	over := false
 	for {
-		now := s.state()
+		s.mu.Lock()
+		now := s.storeState
+		page := s.page(s.after(after))
+		s.mu.Unlock()
 		switch {
 		case now.epoch != began.epoch:
 			<-ctx.Done()
 			return discovery.Page{}, ctx.Err()
 		case now.cuts != began.cuts:
 			return discovery.Page{}, errStoreCut
-		case after < now.floor:
+		case after < now.floor, after > now.revision:
 			return discovery.Page{}, discovery.ErrCompacted
-		case !now.deaf && now.revision > after:
-			return discovery.Page{Revision: now.revision, Events: []discovery.Event{s.event(now.revision)}}, s.finish(ctx, began)
+		case !now.deaf && len(page.Events) > 0:
+			return page, s.finish(ctx, began)
 		case over:
 			return discovery.Page{Revision: after}, s.finish(ctx, began)
 		}
@@ -215,7 +317,9 @@
 	// known is when each version was known: it, or a later one.
 	known  map[int64]time.Time
 	newest int64
-	wakes  []chan struct{}
+	// leafs are those that are in use.
+	leafs map[string]bool
+	wakes []chan struct{}
 }
 
 // ConfigSeen implements discovery.Sink.
@@ -228,11 +332,29 @@
 	i.newest = max(i.newest, c.Version)
 }
 
-func (*simInstance) LeafSeen(replica.Leaf)      {}
-func (*simInstance) LeafGone(string)            {}
+// LeafSeen implements discovery.Sink.
+func (i *simInstance) LeafSeen(l replica.Leaf) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.leafs[l.ID] = true
+}
+
+// LeafGone implements discovery.Sink.
+func (i *simInstance) LeafGone(id string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	delete(i.leafs, id)
+}
+
+// Listed implements discovery.Sink.
+func (i *simInstance) Listed(l discovery.Listing) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	maps.DeleteFunc(i.leafs, func(id string, _ bool) bool { return !l.Leafs[id] })
+}
+
 func (*simInstance) LeafUnreadable(string)      {}
 func (*simInstance) ZoneEvacuated(string, bool) {}
-func (*simInstance) Listed(discovery.Listing)   {}
 func (*simInstance) StoreReturned()             {}
 
 // simFleet is a store and instances that follow it.
@@ -251,7 +373,7 @@
 	log := oplog.New(io.Discard, nil, oplog.Options{LinesPerSecond: 1, Burst: 1, Buffer: 1})
 	log.Close(time.Second)
 	for range sources {
-		i := &simInstance{known: map[int64]time.Time{}}
+		i := &simInstance{known: map[int64]time.Time{}, leafs: map[string]bool{}}
 		i.follower = discovery.NewFollower(f.store, i, storeOptions(set), log)
 		i.follower.OnChange(i.wake)
 		f.instances = append(f.instances, i)
@@ -295,11 +417,18 @@
 	defer ticker.Stop()
 	for {
 		confirmed, answered, page := ageOf(from.ConfirmedAt()), ageOf(from.AnsweredAt()), from.Since(sent)
-		time.Sleep(way)
-		if from.Known() && page.To > sent && to.TakeFed(page) == nil {
+		tells := from.Known() && page.To > sent
+		if tells {
 			sent = page.To
 		}
-		if page.To <= to.Revision() {
+		time.Sleep(way)
+		if tells {
+			_ = to.TakeFed(page) // What is refused is lost, as on a connection.
+		}
+		switch {
+		case to.Contradicted(page.To, time.Now().Add(-confirmed)):
+			sent = 0
+		case page.To <= to.Revision():
 			to.Proven(time.Now().Add(-confirmed))
 			to.Confirmed(time.Now().Add(-answered))
 		}
@@ -356,6 +485,16 @@
 	}
 }
 
+// requireLeafs fails where an instance uses other leafs than the store lists.
+func (f *simFleet) requireLeafs(t *testing.T, what ...any) {
+	t.Helper()
+	want := f.store.items()
+	delete(want, simConfig)
+	for n, i := range f.instances {
+		require.ElementsMatch(t, slices.Collect(maps.Keys(want)), slices.Collect(maps.Keys(i.leafs)), "%v: instance %d of %d", what, n, len(f.instances))
+	}
+}
+
 // simDeployments are the bounds that deployments declare.
 func simDeployments() map[string]*settings.Node {
 	out := make(map[string]*settings.Node)
--- a/pkg/peers/feeds_test.go
+++ b/pkg/peers/feeds_test.go
@@ -141,6 +141,23 @@
 	})
 }
 
+// Guards against: an instance that hears of no change until the revisions pass the one up to which a
+// peer remembers to have told it, when both have begun anew at an earlier one.
+func TestChangesAreHeardAfterRevisionsGoBack(t *testing.T) {
+	b := newFeedBench(t)
+	b.tell("a", 9)
+	b.listenTo()
+	b.eventually(func() bool { return b.here.Revision() == 9 })
+	for _, m := range []*memory{b.peer, b.here} {
+		locked(m, func() bool { m.book = feed.NewBook(); return true })
+		locked(m, func() []feed.Item { return m.book.Take(feed.Page{Full: true, To: 5}) })
+	}
+	b.tell("b", 6)
+	b.tell("c", 7)
+	b.eventually(func() bool { return b.here.Revision() == 7 })
+	require.Len(t, b.here.Since(0).Items, 2)
+}
+
 // A peer that knows nothing itself says so, and is no source.
 func TestPeerThatKnowsNothingIsNoSource(t *testing.T) {
 	b := newFeedBench(t)
