Instances ask a peer anew for changes that it named and that did not arrive

Callers were served by a configuration that had been replaced 5 s and more before, by the instances that had dropped what they knew of the store when it was restored. A peer keeps up to which revision it has told each listener, and sends only what is above. Listener and store had gone back from 293 to 290; the mark of every peer but the one whose word had made the listener forget stayed at 293, so that 291 to 293, given out again, were never sent.

A peer sends all changes up to the revision that it names before its next news. So two news in a row show a listener what it lacks, whatever the reason: dropped, refused, lost. It then asks anew from where it is, at most once a second. Before: TestChangesAreHeardAfterRevisionsGoBack deaf for 10 s; now green.

--- a/pkg/node/storesim_test.go
+++ b/pkg/node/storesim_test.go
@@ -413,6 +413,7 @@
 // feedSim lets one instance hear of another until ctx ends; way is how long a message takes.
 func feedSim(ctx context.Context, from, to *discovery.Follower, way time.Duration, wake chan struct{}) {
 	sent := int64(0)
+	var told feed.Told
 	ticker := time.NewTicker(simNewsEvery)
 	defer ticker.Stop()
 	for {
@@ -426,8 +427,9 @@
 			_ = to.TakeFed(page) // What is refused is lost, as on a connection.
 		}
 		switch {
-		case to.Contradicted(page.To, time.Now().Add(-confirmed)):
-			sent = 0
+		case to.Contradicted(page.To, time.Now().Add(-confirmed)), told.Missed(page.To, to.Revision(), time.Now()):
+			sent = to.Revision()
+			told.Asked(time.Now())
 		case page.To <= to.Revision():
 			to.Proven(time.Now().Add(-confirmed))
 			to.Confirmed(time.Now().Add(-answered))
--- a/pkg/peers/feeds.go
+++ b/pkg/peers/feeds.go
@@ -17,8 +17,10 @@
 	fresh time.Duration
 	// firstStart: all instances start for the first time, and know few of each other yet.
 	firstStart bool
-	// heard is what each one that is listened to has said last.
+	// heard is what each one that is listened to has said last, and told whether changes that it sent
+	// are missing.
 	heard map[string]heard
+	told  map[string]*feed.Told
 }
 
 // heard is what one that is listened to has said: when the store last answered it itself,
@@ -31,7 +33,7 @@
 // Listen lets the agent be fed by its peers; firstStart: all instances start for the first
 // time. It is called before Run.
 func (p *Peers) Listen(store Store, opts feed.Options, firstStart bool) {
-	p.feeds = &feeds{store: store, firstStart: firstStart, fresh: opts.Fresh, plan: feed.NewPlan(opts, time.Now()), heard: make(map[string]heard)}
+	p.feeds = &feeds{store: store, firstStart: firstStart, fresh: opts.Fresh, plan: feed.NewPlan(opts, time.Now()), heard: make(map[string]heard), told: make(map[string]*feed.Told)}
 }
 
 // follow decides to whom this instance listens and whether it reads the store, and returns
@@ -142,13 +144,24 @@
 		unheard := c.listening && now.Sub(p.feeds.heard[name].at) > listenAgain && now.Sub(c.listenedAt) > listenAgain
 		if names[name] != c.listening || (names[name] && unheard) {
 			c.listening, c.listenedAt = names[name], now
-			l := listen{After: p.feeds.store.Revision(), Stop: !names[name]}
-			p.log.Decision("feed_asked", oplog.Fields{"peer": name, "after": l.After, "stop": l.Stop, "silent": unheard})
-			go c.listen(l)
+			p.ask(c, listen{After: p.feeds.store.Revision(), Stop: !names[name]}, "silent", unheard)
 		}
 	}
 }
 
+// ask asks a peer to tell this instance of changes, or no longer, and logs whether that has a reason;
+// mu is held.
+func (p *Peers) ask(c *clientConn, l listen, reason string, holds bool) {
+	told := p.feeds.told[c.peer.Name]
+	if told == nil {
+		told = &feed.Told{}
+		p.feeds.told[c.peer.Name] = told
+	}
+	told.Asked(time.Now())
+	p.log.Decision("feed_asked", oplog.Fields{"peer": c.peer.Name, "after": l.After, "stop": l.Stop, reason: holds})
+	go c.listen(l)
+}
+
 // listen tells the peer what is wanted of it.
 func (c *clientConn) listen(l listen) {
 	c.mu.Lock()
@@ -163,21 +176,35 @@
 
 // heardNews takes over how far a peer is.
 func (p *Peers) heardNews(c *clientConn, n news) {
+	now := time.Now()
+	proven, answered := ago(n.AgeMs, now), ago(n.OwnAgeMs, now)
+	store := p.feeds.store
+	contradicted := !proven.IsZero() && store.Contradicted(n.Revision, proven)
+	known := store.Revision()
+	p.heardFrom(c, n, known, contradicted)
+	if contradicted || proven.IsZero() || n.Revision > known {
+		return
+	}
+	store.Proven(proven)
+	if !answered.IsZero() {
+		store.Confirmed(answered)
+	}
+}
+
+// heardFrom notes what a peer has said, given the revision that is known, and asks it anew where
+// changes are missing.
+func (p *Peers) heardFrom(c *clientConn, n news, known int64, contradicted bool) {
 	now := time.Now()
 	p.mu.Lock()
+	defer p.mu.Unlock()
 	p.feeds.heard[c.peer.Name] = heard{answeredAt: ago(n.OwnAgeMs, now), at: now, isolated: n.Isolated}
-	p.mu.Unlock()
-	proven := ago(n.AgeMs, now)
+	told := p.feeds.told[c.peer.Name]
 	switch {
-	case proven.IsZero():
-	case p.feeds.store.Contradicted(n.Revision, proven):
-		p.log.Decision("feed_asked", oplog.Fields{"peer": c.peer.Name, "after": 0, "contradicted": true})
-		go c.listen(listen{})
-	case n.Revision <= p.feeds.store.Revision():
-		p.feeds.store.Proven(proven)
-		if answered := ago(n.OwnAgeMs, now); !answered.IsZero() {
-			p.feeds.store.Confirmed(answered)
-		}
+	case !c.listening || told == nil:
+	case contradicted:
+		p.ask(c, listen{}, "contradicted", true)
+	case told.Missed(n.Revision, known, now):
+		p.ask(c, listen{After: known}, "missed", true)
 	}
 }
 
