An instance that knows nothing of the store claims no revision of it

One instance that had dropped its knowledge told the others its revision, 0, together with the time of the last answer from before, which reads as: the store was at revision 0 then. The news of an instance that knows nothing no longer say up to when all is known. The new test failed before (one claim, none allowed).

--- a/pkg/peers/feeder.go
+++ b/pkg/peers/feeder.go
@@ -185,6 +185,9 @@
 	}
 	// The times first: the revision is then at least that of the answers.
 	n := news{AgeMs: age(f.store.ConfirmedAt()), OwnAgeMs: age(f.store.AnsweredAt())}
+	if !f.store.Known() {
+		n.AgeMs = unproven
+	}
 	n.Revision = f.store.Revision()
 	n.Isolated = f.isolated()
 	return sent, c.write(kindNews, n)
--- a/pkg/peers/feeds_test.go
+++ b/pkg/peers/feeds_test.go
@@ -26,6 +26,8 @@
 	group     longpoll.Group
 	reading   bool
 	refused   int
+	// contradicted is how many peers have said where the store was.
+	contradicted int
 }
 
 func newMemory() *memory { return &memory{book: feed.NewBook()} }
@@ -52,7 +54,7 @@
 	locked(m, func() bool { m.reading, m.group = r, group; return true })
 }
 func (m *memory) Contradicted(int64, time.Time) bool {
-	return false
+	return locked(m, func() bool { m.contradicted++; return false })
 }
 
 func (m *memory) TakeFed(p feed.Page) error {
@@ -336,3 +338,18 @@
 	b.agent.roles.behind = nil
 	require.Equal(t, "a-a", b.agent.follow(now)[0], "the last one goes on with the first")
 }
+
+// Guards against: an instance that has dropped what it knew of the store and makes others drop it too.
+func TestPeerThatKnowsNothingContradictsNobody(t *testing.T) {
+	b := newFeedBench(t)
+	locked(b.peer, func() bool { b.peer.proven, b.peer.answered = time.Now(), time.Now(); return true })
+	b.listenTo()
+	heard := func() heard {
+		b.agent.mu.Lock()
+		defer b.agent.mu.Unlock()
+		return b.agent.feeds.heard["peer"]
+	}
+	b.eventually(func() bool { return !heard().at.IsZero() })
+	require.False(t, heard().answeredAt.IsZero(), "the store answers it")
+	require.Zero(t, locked(b.here, func() int { return b.here.contradicted }))
+}
