Tests for the comparisons of positions that none of them guarded; two redundant ones removed

Four tests are new or stricter (a call that is ended, a listing that is repeated, pages that do not fit, contradictions across eras), two clauses that nothing depends on are gone (a full page for one that knows a later era, which is never sent; a listing of an earlier era, which the next watch finds).

--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -260,7 +260,6 @@
 // was missed.
 func (f *Follower) list(ctx context.Context) error {
 	f.relist.Store(false)
-	asked := f.Position()
 	listing := newListing()
 	at, events, err := f.pages(ctx)
 	if err != nil {
@@ -270,11 +269,8 @@
 	for _, e := range events {
 		listing.add(e)
 	}
-	if at.Era < asked.Era {
-		f.storeBehind(asked, at)
-	}
 	if !f.take(feed.Page{Full: true, To: at}, events) {
-		return nil // Another instance has told of a later era meanwhile.
+		return nil // Another instance has told of a later era.
 	}
 	f.addKnown(listing, at)
 	f.sink.Listed(listing)
--- a/pkg/discovery/restored_test.go
+++ b/pkg/discovery/restored_test.go
@@ -116,7 +116,7 @@
 
 // Guards against: a call that waits on in an era that another instance has told to be over.
 func TestCallOfAnEraThatIsOverEnds(t *testing.T) {
-	waits := &waiting{script: script{lists: []Page{{At: at(10)}}}, began: make(chan feed.Position)}
+	waits := &waiting{script: script{lists: []Page{{At: at(10)}}}, began: make(chan feed.Position), ended: make(chan error, 1)}
 	f, _ := follower(&waits.script)
 	f.source = waits
 	ctx, stop := context.WithCancel(context.Background())
@@ -124,21 +124,68 @@
 	go f.Run(ctx)
 	require.Equal(t, at(10), <-waits.began)
 	require.NoError(t, f.TakeFed(feed.Page{Full: true, To: in(1, 8)}))
+	require.ErrorIs(t, <-waits.ended, context.Canceled)
 	require.Equal(t, in(1, 8), <-waits.began)
+	stop()
+
+	go func() { <-waits.began }()
+	_, err := f.watch(context.Background(), at(10), longpoll.Call{Wait: time.Minute})
+	require.ErrorIs(t, err, errPassed, "one that begins at that moment")
 }
 
 // waiting is a source whose watches are never answered.
 type waiting struct {
 	script
 	began chan feed.Position
+	ended chan error
 }
 
 func (w *waiting) Watch(ctx context.Context, after feed.Position, _ time.Duration) (Page, error) {
 	w.began <- after
 	<-ctx.Done()
+	select {
+	case w.ended <- ctx.Err():
+	default:
+	}
 	return Page{}, ctx.Err()
 }
 
+// Guards against: a watch that goes on from where it must not when the listing that was due has failed.
+func TestListingThatFailsIsRepeated(t *testing.T) {
+	s := &script{lists: []Page{{At: at(10)}}, watches: []func() (Page, error){compacted}}
+	f, _ := follower(s)
+	f.step(context.Background())
+	f.step(context.Background())
+	for range 3 {
+		require.NotZero(t, f.step(context.Background()))
+	}
+	require.Len(t, s.watched, 1)
+	s.lists = append(s.lists, Page{At: at(20)})
+	f.step(context.Background())
+	require.Equal(t, at(20), f.Position())
+}
+
+// Guards against: pages of other instances that leave a gap, or go back to an era that is over.
+func TestPagesOfOthersThatDoNotFitAreRefused(t *testing.T) {
+	f, r := follower(&script{})
+	require.ErrorIs(t, f.TakeFed(feed.Page{From: at(3), To: at(4)}), feed.ErrGap)
+	require.NoError(t, f.TakeFed(feed.Page{Full: true, To: in(1, 8)}))
+	require.ErrorIs(t, f.TakeFed(feed.Page{From: in(1, 9), To: in(1, 10), Items: []feed.Item{seen("x", 1, 10).Item}}), feed.ErrGap)
+	require.ErrorIs(t, f.TakeFed(feed.Page{Full: true, To: at(90), Items: []feed.Item{entry("x", 90)}}), feed.ErrEra)
+	require.Equal(t, in(1, 8), f.Position())
+	require.Equal(t, []string{"listed"}, r.told)
+}
+
+// Guards against: knowledge of a later era that is dropped for the revision of an instance, or kept
+// although the store never had it.
+func TestPositionsOfErasAreContradictedByEra(t *testing.T) {
+	f, _ := follower(&script{})
+	require.NoError(t, f.TakeFed(feed.Page{Full: true, To: in(1, 8)}))
+	later := time.Now().Add(time.Minute)
+	require.False(t, f.Contradicted(in(2, 3), later))
+	require.True(t, f.Contradicted(in(0, 900), later))
+}
+
 // Guards against: answers that were under way when another instance told of a later era, and are taken
 // for changes of it.
 func TestAnswersOfAnEraThatIsOverAreDropped(t *testing.T) {
--- a/pkg/feed/book.go
+++ b/pkg/feed/book.go
@@ -248,7 +248,7 @@
 	if !b.returnedAt.IsZero() && (b.held || now.Sub(b.returnedAt) < returnTold) {
 		p.ReturnedMs = uint32(max(now.Sub(b.returnedAt).Milliseconds(), 1))
 	}
-	if after.Era != b.at.Era || after.Revision <= 0 || after.Before(b.floor) {
+	if after.Revision <= 0 || after.Before(b.floor) {
 		p.Full, p.From = true, Position{}
 	}
 	for _, it := range b.items {
--- a/pkg/feed/book_test.go
+++ b/pkg/feed/book_test.go
@@ -200,6 +200,7 @@
 		require.ErrorIs(t, b.Fits(tc.page), tc.want, name)
 	}
 	require.ErrorIs(t, NewBook().Fits(Page{From: at(3), To: at(4)}), ErrGap)
+	require.ErrorIs(t, NewBook().Fits(Page{From: at(0), To: at(4)}), ErrGap)
 	across := Page{From: at(20), To: in(1, 14)}
 	require.ErrorIs(t, across.Check(), ErrPosition, "changes across eras")
 	early := Page{Full: true, To: at(20), Items: of(1, put("x", 3))}
