A restored configuration service's patches are not mixed with what an instance had before

It gives its versions out again; an instance at version 2 of before got the patch from 2 to 3 of the restored service and applied it to its own version 2: a configuration that no service ever had, in force at that instance alone until it starts anew. A reply with patches now carries the digest of the configuration that they lead to; where it differs the whole is read. The new test failed before (a zone evacuated by an order that the service does not have).

Ruled out: the instance list starts over where a reader knows more than the service; pkg/relay hands on whole configurations only. Open: versions only go forward, so changes of a restored service wait until its versions have passed those of before (counter config_versions_ignored_total).

--- a/pkg/configwatch/watch.go
+++ b/pkg/configwatch/watch.go
@@ -165,18 +165,19 @@
 		return nil, fmt.Errorf("watch: status %d", status)
 	}
 	if len(reply.Patches) > 0 {
-		return w.patched(ctx, reply.Patches)
+		return w.patched(ctx, reply)
 	}
 	return reply.Config, nil
 }
 
 // patched applies patches to the configuration in force. Apply is the
 // service's own function, so the result is the version the service holds;
-// if a patch does not apply (the reader's version is not the one the
-// service assumed), the whole configuration is read instead.
-func (w *Watcher) patched(ctx context.Context, patches []topology.Patch) (*topology.Config, error) {
+// if a patch does not apply, or leads to another configuration (the reader's
+// version is not the one the service assumed), the whole configuration is
+// read instead.
+func (w *Watcher) patched(ctx context.Context, reply wire.ConfigReply) (*topology.Config, error) {
 	cfg := w.current.Load()
-	for _, p := range patches {
+	for _, p := range reply.Patches {
 		if cfg == nil {
 			return w.read(ctx)
 		}
@@ -186,6 +187,10 @@
 		}
 		cfg = next
 	}
+	if cfg.Digest() != reply.Digest {
+		w.log.WithField("version", cfg.Version).Warn("patches lead to another configuration than the service has; it is read whole")
+		return w.read(ctx)
+	}
 	w.patchedCount.Inc()
 	return cfg, nil
 }
--- a/pkg/configwatch/watch_test.go
+++ b/pkg/configwatch/watch_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/sirupsen/logrus"
 	"github.com/stretchr/testify/require"
 
 	"github.com/indigoyoke/indigoyoke/pkg/service"
@@ -103,3 +104,27 @@
 	require.True(t, ok)
 	return d.Index("i")
 }
+
+// Guards against: an instance whose configuration is one that no service ever had, since patches of a
+// service that was restored from a backup are applied to what the instance had from before.
+func TestPatchesOfARestoredServiceAreNotMixedWithWhatWasBefore(t *testing.T) {
+	before, restored := standIn(t, 50), standIn(t, 50)
+	submit := func(p *configservice.Server, op topology.Op) {
+		_, err := p.Submit(topology.Patch{BaseVersion: p.Current().Version, Ops: []topology.Op{op}})
+		require.NoError(t, err)
+	}
+	submit(before, topology.Op{Kind: topology.OpEvacuate, Zone: "z"})
+	for snapshot := int64(2); snapshot < 4; snapshot++ {
+		submit(restored, topology.Op{Kind: topology.OpSetSnapshot, Deployment: "d", Index: "i", Snapshot: snapshot})
+	}
+	refreshed := func(from *topology.Config) *Watcher {
+		w, err := NewWatcher(restored.Addr(), "z", metrics.NewSet(), logrus.NewEntry(logrus.New()))
+		require.NoError(t, err)
+		require.True(t, w.Offer(from))
+		require.NoError(t, w.Refresh(context.Background()))
+		require.EqualValues(t, 3, w.Version())
+		return w
+	}
+	require.Empty(t, refreshed(before.Current()).Current().Evacuated, "the restored service has no such order")
+	require.EqualValues(t, 1, refreshed(standIn(t, 50).Current()).patchedCount.Get(), "patches are applied where they fit")
+}
--- a/pkg/standin/configservice/reads.go
+++ b/pkg/standin/configservice/reads.go
@@ -69,7 +69,7 @@
 		}
 	}
 	if patches, ok := p.patchesSince(after, cfg.Version); ok {
-		c.JSON(200, wire.ConfigReply{Version: cfg.Version, Patches: patches})
+		c.JSON(200, wire.ConfigReply{Version: cfg.Version, Patches: patches, Digest: cfg.Digest()})
 		return
 	}
 	c.JSON(200, wire.ConfigReply{Version: cfg.Version, Config: cfg})
--- a/pkg/wire/wire.go
+++ b/pkg/wire/wire.go
@@ -177,11 +177,14 @@
 // ConfigReply wraps a configuration read or watch. Version is the version
 // the service has. A watch answers with Patches, applied in order to the
 // reader's version, when that is cheaper than the whole Config; with
-// neither when it ends with nothing newer than the reader's.
+// neither when it ends with nothing newer than the reader's. Digest is that of
+// the configuration to which the patches lead: a service that was restored from
+// a backup gives out versions again.
 type ConfigReply struct {
 	Version int64            `json:"version"`
 	Config  *topology.Config `json:"config,omitempty"`
 	Patches []topology.Patch `json:"patches,omitempty"`
+	Digest  uint64           `json:"digest,omitempty"`
 }
 
 // Health is a process's health endpoint reply.
