--- a/pkg/discovery/discovery.go
+++ b/pkg/discovery/discovery.go
@@ -137,8 +137,8 @@
 var (
 	// errStale: what is known has become too old.
 	errStale = errors.New("given up: what is known is too old")
-	// errPassed: another instance has told of a later era, and the call would not bring its changes.
-	errPassed = errors.New("given up: the store was restored")
+	// errEraEnded: another instance has told of a later era, and the call would not bring its changes.
+	errEraEnded = errors.New("given up: the store was restored")
 )
 
 // errRestored fails a listing whose pages are of several eras.
@@ -158,13 +158,13 @@
 	page, err := f.watch(ctx, asked, next)
 	c := call{kind: "watch", began: began, wait: next.Wait}
 	if page.At.Era > asked.Era {
-		f.passed(page.At)
+		f.storeRestored(page.At)
 	}
 	switch {
 	case errors.Is(err, ErrCompacted):
 		f.historyGone(asked)
 		return 0
-	case errors.Is(err, errStale), errors.Is(err, errPassed):
+	case errors.Is(err, errStale), errors.Is(err, errEraEnded):
 		f.gaveUp(c)
 		return 0
 	case err != nil:
@@ -183,14 +183,14 @@
 	return f.pacer.Answered(len(page.Events) > 0, page.Full)
 }
 
-// watch makes one call. It ends early where what is known becomes too old meanwhile, or is passed.
+// watch makes one call. It ends early where what is known becomes too old meanwhile, or of an era that is over.
 func (f *Follower) watch(ctx context.Context, after feed.Position, next longpoll.Call) (Page, error) {
 	ctx, giveUp := context.WithCancelCause(ctx)
 	defer giveUp(nil)
 	f.open.Store(&giveUp)
 	defer f.open.Store(nil)
 	if f.Position().Era != after.Era {
-		giveUp(errPassed)
+		giveUp(errEraEnded)
 	}
 	if next.Stale > 0 {
 		go f.untilStale(ctx, next.Stale, giveUp)
@@ -198,7 +198,7 @@
 	callCtx, cancel := context.WithTimeout(ctx, next.Wait+next.Timeout)
 	defer cancel()
 	page, err := f.source.Watch(callCtx, after, next.Wait)
-	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errStale) || errors.Is(cause, errPassed)) {
+	if cause := context.Cause(ctx); err != nil && (errors.Is(cause, errStale) || errors.Is(cause, errEraEnded)) {
 		err = cause
 	}
 	return page, err
@@ -233,11 +233,11 @@
 	})
 }
 
-// passed notes that the store has answered in a later era. What it wrote there below the position that
+// storeRestored notes that the store has answered in a later era. What it wrote there below the position that
 // is known would be missed by watching on, so all is listed; until then what is known holds.
-func (f *Follower) passed(at feed.Position) {
+func (f *Follower) storeRestored(at feed.Position) {
 	f.relist.Store(true)
-	f.log.State("store_passed", oplog.Fields{"era": f.Position().Era, "revision": f.Position().Revision, "store_era": at.Era})
+	f.log.State("store_restored", oplog.Fields{"era": f.Position().Era, "revision": f.Position().Revision, "store_era": at.Era})
 }
 
 // historyGone lets all be listed: the store drops its history at times.
--- a/pkg/discovery/fed.go
+++ b/pkg/discovery/fed.go
@@ -155,7 +155,7 @@
 	}
 	f.mu.Unlock()
 	if giveUp := f.open.Load(); restored && giveUp != nil {
-		(*giveUp)(errPassed)
+		(*giveUp)(errEraEnded)
 	}
 	f.log.State("store_fed", oplog.Fields{
 		"full": p.Full, "from": p.From.Revision, "era": p.To.Era, "revision": p.To.Revision, "entries": len(p.Items), "new": len(fresh),
--- a/pkg/discovery/restored_test.go
+++ b/pkg/discovery/restored_test.go
@@ -130,7 +130,7 @@
 
 	go func() { <-waits.began }()
 	_, err := f.watch(context.Background(), at(10), longpoll.Call{Wait: time.Minute})
-	require.ErrorIs(t, err, errPassed, "one that begins at that moment")
+	require.ErrorIs(t, err, errEraEnded, "one that begins at that moment")
 }
 
 // waiting is a source whose watches are never answered.
--- a/pkg/oplog/levels.go
+++ b/pkg/oplog/levels.go
@@ -20,7 +20,7 @@
 
 	"store_lost":                logrus.WarnLevel,
 	"store_history_gone":        logrus.WarnLevel,
-	"store_passed":              logrus.WarnLevel,
+	"store_restored":            logrus.WarnLevel,
 	"store_era_changed":         logrus.WarnLevel,
 	"store_behind_feed":         logrus.WarnLevel,
 	"store_feed_contradicted":   logrus.WarnLevel,
--- a/pkg/peers/feeds.go
+++ b/pkg/peers/feeds.go
@@ -144,21 +144,27 @@
 		unheard := c.listening && now.Sub(p.feeds.heard[name].at) > listenAgain && now.Sub(c.listenedAt) > listenAgain
 		if names[name] != c.listening || (names[name] && unheard) {
 			c.listening, c.listenedAt = names[name], now
-			p.ask(c, listen{After: p.feeds.store.Position(), Stop: !names[name]}, "silent", unheard)
+			reason := "chosen"
+			switch {
+			case !names[name]:
+				reason = "not needed"
+			case unheard:
+				reason = "silent"
+			}
+			p.ask(c, listen{After: p.feeds.store.Position(), Stop: !names[name]}, reason)
 		}
 	}
 }
 
-// ask asks a peer to tell this instance of changes, or no longer, and logs whether that has a reason;
-// mu is held.
-func (p *Peers) ask(c *clientConn, l listen, reason string, holds bool) {
+// ask asks a peer to tell this instance of changes, or no longer; mu is held.
+func (p *Peers) ask(c *clientConn, l listen, reason string) {
 	told := p.feeds.told[c.peer.Name]
 	if told == nil {
 		told = &feed.Told{}
 		p.feeds.told[c.peer.Name] = told
 	}
 	told.Asked(time.Now())
-	p.log.Decision("feed_asked", oplog.Fields{"peer": c.peer.Name, "after_era": l.After.Era, "after": l.After.Revision, "stop": l.Stop, reason: holds})
+	p.log.Decision("feed_asked", oplog.Fields{"peer": c.peer.Name, "after_era": l.After.Era, "after": l.After.Revision, "stop": l.Stop, "reason": reason})
 	go c.listen(l)
 }
 
@@ -202,9 +208,9 @@
 	switch {
 	case !c.listening || told == nil:
 	case contradicted:
-		p.ask(c, listen{}, "contradicted", true)
+		p.ask(c, listen{}, "contradicted")
 	case told.Missed(n.At, known, now):
-		p.ask(c, listen{After: known}, "missed", true)
+		p.ask(c, listen{After: known}, "missed")
 	}
 }
 
