--- a/pkg/node/storesim_test.go
+++ b/pkg/node/storesim_test.go
@@ -523,16 +523,16 @@
 // feed lets one instance hear of another until ctx ends.
 func (f *simFleet) feed(ctx context.Context, source, listener *simInstance, wake chan struct{}) {
 	sent := listener.follower.Position()
-	told := &feed.Told{}
+	subscription := &feed.Subscription{}
 	ticker := time.NewTicker(simNewsEvery)
 	defer ticker.Stop()
 	for {
 		switch {
 		case f.isCut(): // The connection is lost; the next one begins where the listener is.
 			sent = listener.follower.Position()
-			told.Asked(time.Now())
+			subscription.Renewed(time.Now())
 		default:
-			sent = f.tell(source.follower, listener, sent, told)
+			sent = f.tell(source.follower, listener, sent, subscription)
 		}
 		source.awake()
 		select {
@@ -545,7 +545,7 @@
 }
 
 // tell lets a listener hear once of another instance, and returns up to where that has told it.
-func (f *simFleet) tell(from *discovery.Follower, listener *simInstance, sent feed.Position, told *feed.Told) feed.Position {
+func (f *simFleet) tell(from *discovery.Follower, listener *simInstance, sent feed.Position, subscription *feed.Subscription) feed.Position {
 	confirmed, answered, page := ageOf(from.ConfirmedAt()), ageOf(from.AnsweredAt()), from.Since(sent)
 	known := from.Known()
 	tells := known && page.To.After(sent)
@@ -560,8 +560,8 @@
 	}
 	contradicted := known && to.Contradicted(page.To, time.Now().Add(-confirmed))
 	switch {
-	case contradicted, told.Missed(page.To, to.Position(), time.Now()):
-		told.Asked(time.Now())
+	case contradicted, subscription.Missed(page.To, to.Position(), time.Now()):
+		subscription.Renewed(time.Now())
 		return to.Position()
 	case known && page.To.Era == to.Position().Era && !page.To.After(to.Position()):
 		to.Proven(time.Now().Add(-confirmed))
--- a/pkg/peers/feeds.go
+++ b/pkg/peers/feeds.go
@@ -17,10 +17,10 @@
 	fresh time.Duration
 	// firstStart: all instances start for the first time, and know few of each other yet.
 	firstStart bool
-	// heard is what each one that is listened to has said last, and told whether changes that it sent
-	// are missing.
-	heard map[string]heard
-	told  map[string]*feed.Told
+	// heard is what each one that is listened to has said last, and subscriptions say whether changes
+	// that it sent are missing.
+	heard         map[string]heard
+	subscriptions map[string]*feed.Subscription
 }
 
 // heard is what one that is listened to has said: when the store last answered it itself,
@@ -33,7 +33,7 @@
 // Listen lets the agent be fed by its peers; firstStart: all instances start for the first
 // time. It is called before Run.
 func (p *Peers) Listen(store Store, opts feed.Options, firstStart bool) {
-	p.feeds = &feeds{store: store, firstStart: firstStart, fresh: opts.Fresh, plan: feed.NewPlan(opts, time.Now()), heard: make(map[string]heard), told: make(map[string]*feed.Told)}
+	p.feeds = &feeds{store: store, firstStart: firstStart, fresh: opts.Fresh, plan: feed.NewPlan(opts, time.Now()), heard: make(map[string]heard), subscriptions: make(map[string]*feed.Subscription)}
 }
 
 // follow decides to whom this instance listens and whether it reads the store, and returns
@@ -158,12 +158,12 @@
 
 // ask asks a peer to tell this instance of changes, or no longer; mu is held.
 func (p *Peers) ask(c *clientConn, l listen, reason string) {
-	told := p.feeds.told[c.peer.Name]
-	if told == nil {
-		told = &feed.Told{}
-		p.feeds.told[c.peer.Name] = told
+	subscription := p.feeds.subscriptions[c.peer.Name]
+	if subscription == nil {
+		subscription = &feed.Subscription{}
+		p.feeds.subscriptions[c.peer.Name] = subscription
 	}
-	told.Asked(time.Now())
+	subscription.Renewed(time.Now())
 	p.log.Decision("feed_asked", oplog.Fields{"peer": c.peer.Name, "after_era": l.After.Era, "after": l.After.Revision, "stop": l.Stop, "reason": reason})
 	go c.listen(l)
 }
@@ -204,12 +204,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.feeds.heard[c.peer.Name] = heard{answeredAt: ago(n.OwnAgeMs, now), at: now, isolated: n.Isolated}
-	told := p.feeds.told[c.peer.Name]
+	subscription := p.feeds.subscriptions[c.peer.Name]
 	switch {
-	case !c.listening || told == nil:
+	case !c.listening || subscription == nil:
 	case contradicted:
 		p.ask(c, listen{}, "contradicted")
-	case told.Missed(n.At, known, now):
+	case subscription.Missed(n.At, known, now):
 		p.ask(c, listen{After: known}, "missed")
 	}
 }
