Design of the overload control and its settings

Two customers' callers compete for leafs with too little capacity. The settings of the parts, their result codes IY2008 and IY2009, and the condition of a short timeout (Route.ShortTimeout) come first, so that the parts can be built side by side.

--- a/pkg/errcode/errcode.go
+++ b/pkg/errcode/errcode.go
@@ -42,6 +42,8 @@
 	ShardsUnavailable     Code = 2005
 	ShardsOverloaded      Code = 2006
 	Quarantined           Code = 2007
+	QueueFull             Code = 2008
+	LowPriority           Code = 2009
 	ShardTimeout          Code = 3001
 	ShardUnavailable      Code = 3002
 	ShardRefused          Code = 3003
@@ -93,6 +95,8 @@
 	ShardsUnavailable:     {"no leaf can take the request now", true, 503},
 	ShardsOverloaded:      {"too many shards are overloaded to answer in time", true, 503},
 	Quarantined:           {"request quarantined: backend servers ended while they ran it", true, 503},
+	QueueFull:             {"too many requests wait for the service to start this one in time", true, 503},
+	LowPriority:           {"refused in favour of more urgent requests to the same shards", true, 503},
 	ShardTimeout:          {"shard did not answer before the deadline", false, 200},
 	ShardUnavailable:      {"no reachable leaf for the shard", true, 200},
 	ShardRefused:          {"backend server refused: not run", true, 200},
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -171,6 +171,7 @@
 	ColdFactor, ColdSlack float64
 	// RetryAfter is the retry hint of refusals without a more specific one.
 	RetryAfter time.Duration
+	Overload   Overload
 }
 
 // Gateway runs requests. It is safe for concurrent use.
@@ -305,15 +306,6 @@
 	return Answer{Code: errcode.CallerDisconnected}
 }
 
-// recordSecondRequest records that a further leaf is called for a service or shard.
-func (g *Gateway) recordSecondRequest(route *routing.Route, call LeafCall, why string) {
-	req := call.Request
-	g.stats.secondRequest(why)
-	g.log.Decision("second_request", req.logFields(route.Name, oplog.Fields{
-		"service": call.Service, "leaf": call.Leaf.ID, "why": why, "after_ms": time.Since(req.Arrived).Milliseconds(),
-	}))
-}
-
 // version returns the version of the current configuration, 0 without one.
 func (g *Gateway) version() int64 {
 	if c := g.config.Load(); c != nil {
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -57,9 +57,10 @@
 		return g.refuseQuarantined(req, route, admission.RetryAfter)
 	}
 	trial := admission.Verdict == quarantine.Suspect
+	returning, _ := g.claimReturn(req, route)
 	query := fanout.New(g.table, route, g.opts.Load().Fanout, fanout.Params{
 		Start: req.latencyStart(route.TargetLatency), Deadline: deadline,
-		CallerRetried: g.callerTimeouts.isRetry(route.Name, req.Timeout),
+		CallerRetried: returning,
 		Suspect:       trial, SuspectService: admission.Service,
 	})
 	sends, refusal := query.Start(time.Now())
--- a/pkg/gateway/leafcall.go
+++ b/pkg/gateway/leafcall.go
@@ -6,6 +6,7 @@
 
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
+	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
 
 // callLeaf sends one leaf call and records its outcome. tracked is the call's record in the
@@ -56,6 +57,15 @@
 	}
 }
 
+// recordSecondRequest records that a further leaf is called for a service or shard.
+func (g *Gateway) recordSecondRequest(route *routing.Route, call LeafCall, why string) {
+	req := call.Request
+	g.stats.secondRequest(why)
+	g.log.Decision("second_request", req.logFields(route.Name, oplog.Fields{
+		"service": call.Service, "leaf": call.Leaf.ID, "why": why, "after_ms": time.Since(req.Arrived).Milliseconds(),
+	}))
+}
+
 func loadText(load *replica.Load) string {
 	if load == nil {
 		return ""
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -139,6 +139,10 @@
 		AnswerMargin:   margin,
 		ColdFactor:     set.Declared.ColdFactor, ColdSlack: set.Declared.ColdSlack,
 		RetryAfter: settings.Duration(set.Answers.RetryAfterMs),
+		Overload: gateway.Overload{
+			Priorities: gateway.ParseMode(set.Overload.Priorities), SingleQueue: gateway.ParseMode(set.Overload.SingleQueue), Returns: gateway.ParseMode(set.Overload.Returns),
+			MinAdmittedShare: set.Overload.MinAdmittedShare, ShortTimeoutTargets: set.Overload.ShortTimeoutTargets,
+		},
 	}
 }
 
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -61,6 +61,15 @@
 	AllowedRegions []string
 }
 
+// ShortTimeout reports whether the route's timeout is at most the given number of target latencies.
+// It is false if either is not published.
+//
+// A caller with a longer timeout can be held or retried after an overload of some seconds. A caller
+// with a short one must be told at once whether it can be served.
+func (r *Route) ShortTimeout(targets float64) bool {
+	return r.Timeout > 0 && r.TargetLatency > 0 && float64(r.Timeout) <= targets*float64(r.TargetLatency)
+}
+
 // Target is a service of a route and its share of the requests.
 type Target struct {
 	Service string
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -13,9 +13,10 @@
 	Leafs          NodeLeafs          `yaml:"leafs"`
 	Peers          NodePeers          `yaml:"peers"`
 	// Machine describes the hardware resources of the instance.
-	Machine NodeMachine `yaml:"machine"`
-	Limits  NodeLimits  `yaml:"limits"`
-	Log     NodeLog     `yaml:"log"`
+	Machine  NodeMachine  `yaml:"machine"`
+	Limits   NodeLimits   `yaml:"limits"`
+	Overload NodeOverload `yaml:"overload"`
+	Log      NodeLog      `yaml:"log"`
 	// TickMs is the interval of periodic maintenance.
 	TickMs   int          `yaml:"tick_ms"`
 	Reload   NodeReload   `yaml:"reload"`
@@ -158,6 +159,24 @@
 	// MaxQuarantineMs is the maximum time for which a request that crashes leafs is quarantined,
 	// that is, sent to no leaf.
 	MaxQuarantineMs int `yaml:"quarantine_most_ms"`
+	// MaxHeldBytes is the maximum number of bytes of answers that callers have not yet read.
+	MaxHeldBytes int `yaml:"max_held_bytes"`
+}
+
+// NodeOverload configures the decisions for routes whose leafs have too little capacity.
+// docs/design/hard-load.md describes them.
+type NodeOverload struct {
+	// Priorities, SingleQueue and Returns switch on admission by priority, the queue for requests
+	// that go to one leaf, and planned returns of refused callers: "auto" for the routes whose
+	// published configuration calls for it, "on" for all routes, or "off".
+	Priorities  string `yaml:"priorities"`
+	SingleQueue string `yaml:"single_queue"`
+	Returns     string `yaml:"returns"`
+	// MinAdmittedShare is the minimum fraction (0 to 1) of the queries of a less urgent rank that
+	// is admitted.
+	MinAdmittedShare float64 `yaml:"least_share"`
+	// ShortTimeoutTargets is the number of target latencies up to which a route's timeout is short.
+	ShortTimeoutTargets float64 `yaml:"short_timeout_targets"`
 }
 
 // NodeLog limits the volume of the log.
--- a/pkg/settings/node_test.go
+++ b/pkg/settings/node_test.go
@@ -34,6 +34,12 @@
 		"unheard_of: 1\n":                         "unheard_of",
 		"second_requests: {hedge_at_target: 0}\n": "second_requests.hedge_at_target",
 		"log: {lines_per_second: 0}\n":            "log.lines_per_second",
+		"overload: {priorities: maybe}\n":         "overload.priorities",
+		"overload: {single_queue: true}\n":        "overload.single_queue",
+		"overload: {returns: never}\n":            "overload.returns",
+		"overload: {least_share: 1.5}\n":          "overload.least_share",
+		"overload: {short_timeout_targets: 0}\n":  "overload.short_timeout_targets",
+		"limits: {max_held_bytes: 0}\n":           "limits.max_held_bytes",
 	} {
 		_, err := loadNode(t, extra)
 		require.Error(t, err, extra)
