Accept bytes in requests between peers that are not UTF-8

Cause: frames are CBOR, whose decoder rejects text strings that are not UTF-8. Found while defining the frame for leafs' replies, which have to arrive unchanged.

Change: frames are decoded without that check; the bytes arrive as they were sent.

Ruled out: byte strings for header values, which change every request frame and still leave the target and the host.

Conclusion: a caller can no longer break the connection between instances in this way.

--- a/pkg/peers/frames.go
+++ b/pkg/peers/frames.go
@@ -225,9 +225,22 @@
 	return frameKind(k), raw, nil
 }
 
+// frameDecoding accepts texts that are not UTF-8: HTTP allows other bytes in header values and
+// targets, and they are passed on unchanged.
+var frameDecoding = mustDecMode(cbor.DecOptions{UTF8: cbor.UTF8DecodeInvalid})
+
+// mustDecMode returns the decoding mode for constant options.
+func mustDecMode(o cbor.DecOptions) cbor.DecMode {
+	mode, err := o.DecMode()
+	if err != nil {
+		panic(err) // The options are constants.
+	}
+	return mode
+}
+
 // decode decodes the content of a frame.
 func decode[T any](raw []byte) (T, error) {
 	var v T
-	err := cbor.Unmarshal(raw, &v)
+	err := frameDecoding.Unmarshal(raw, &v)
 	return v, err
 }
