Hand single requests off to the instances that run the zone's queries

Cause: each instance runs its own single requests. One that sends a service one request every few seconds does not know the load of its leafs (docs/design/hard-load.md, part 2).

Change: routes for which overload.single_queue applies are handed off by the protocol of queries: offered, accepted, granted once. New frames kindSingle and kindSingleAnswer, protocol version 6; the answer has the leaf's whole reply, or the result code, the retry hint and the last failure. A stopping instance declines single requests. The number of gatherers of all zones is passed to a callback, which node connects to nothing yet. Number and kind of an answer are checked; an offer with a repeated number closes the connection, since with a repeated grant it would run twice.

Ruled out: a flag in the query frame, since the answers have nothing in common; texts sent once per connection for replies, whose values differ per request; running a request here after a peer declined a granted one, which the design forbids; frames over the size limit, which would close the connection and lose all other requests on it.

Result: tests of pkg/peers, pkg/gateway, pkg/node and pkg/oplog pass; in platform only the tests matching HandedOff, TestAtMostOnce and Queries were run, and pass.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -265,7 +265,7 @@
 	if route.Kind == routing.Gather {
 		a = g.runQuery(ctx, req, route, version, end)
 	} else {
-		a = g.runSingle(ctx, req, route, end)
+		a = g.serveSingle(ctx, req, route, version, end)
 	}
 	a.Route = route
 	g.stats.answered(route, a.Code, time.Since(req.Arrived))
--- a/pkg/gateway/gatherers.go
+++ b/pkg/gateway/gatherers.go
@@ -20,9 +20,12 @@
 	// HandOff hands a query off to a gatherer. ok is false if no gatherer accepted it or this
 	// instance is to run it itself; nothing has run in that case.
 	HandOff(ctx context.Context, q GatherQuery) (a Answer, ok bool)
+	// HandOffSingle is like HandOff for a request that goes to a single leaf. The answer holds the
+	// leaf's reply as the gatherer received it.
+	HandOffSingle(ctx context.Context, q GatherQuery) (a Answer, ok bool)
 }
 
-// GatherQuery is a query that may be handed off.
+// GatherQuery is a query, or a request to a single leaf, that may be handed off.
 type GatherQuery struct {
 	Request *Request
 	Route   *routing.Route
@@ -48,12 +51,13 @@
 	if !ok {
 		return g.gather(ctx, req, route, deadline)
 	}
-	g.recordHandedOff(req, route, a)
+	g.recordHandedOff("query_ended_elsewhere", req, route, a)
 	return a
 }
 
-// recordHandedOff records the outcome of a query that another instance ran.
-func (g *Gateway) recordHandedOff(req *Request, route *routing.Route, a Answer) {
+// recordHandedOff records the outcome of a request that another instance ran. event names the log
+// line of an outcome other than a success.
+func (g *Gateway) recordHandedOff(event string, req *Request, route *routing.Route, a Answer) {
 	switch {
 	case a.Code == errcode.OK:
 		return
@@ -63,7 +67,7 @@
 	case a.Code.NotRun():
 		g.stats.refused(a.Code)
 	}
-	g.log.Decision("query_ended_elsewhere", req.logFields(route.Name, oplog.Fields{
+	g.log.Decision(event, req.logFields(route.Name, oplog.Fields{
 		"code": a.Code.String(), "reason": a.Code.Name(),
 		"after_ms": time.Since(req.Arrived).Milliseconds(), "config_version": g.version(),
 	}))
@@ -73,22 +77,7 @@
 // sent, and sends nothing unless granted reports that the query is this instance's to run. ok is
 // false if the query did not run and will not.
 func (g *Gateway) Gather(ctx context.Context, req *Request, version int64, granted func() bool) (a Answer, ok bool) {
-	c := g.config.Load()
-	if c == nil || c.Version != version {
-		return a, false
-	}
-	route := c.Match(req.Host, req.Path)
-	if route == nil || route.Kind != routing.Gather {
-		return a, false
-	}
-	defer g.inFlight.Add(-1)
-	if g.inFlight.Add(1) > int64(g.opts.Load().MaxInFlight) {
-		return a, false
-	}
-	if !granted() {
-		return a, false
-	}
-	a = g.gather(ctx, req, route, g.deadline(req, route))
-	a.Route = route
-	return a, true
+	return g.runForPeer(req, version, granted, isGather, func(route *routing.Route) Answer {
+		return g.gather(ctx, req, route, g.deadline(req, route))
+	})
 }
--- a/pkg/gateway/gatherers_test.go
+++ b/pkg/gateway/gatherers_test.go
@@ -14,6 +14,9 @@
 type scriptedGatherers func(q GatherQuery) (Answer, bool)
 
 func (f scriptedGatherers) HandOff(_ context.Context, q GatherQuery) (Answer, bool) { return f(q) }
+func (f scriptedGatherers) HandOffSingle(_ context.Context, q GatherQuery) (Answer, bool) {
+	return f(q)
+}
 
 // A gatherer's answer is passed to the caller; a query that it declines runs locally.
 func TestQueriesAreHandedOffToGatherer(t *testing.T) {
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -55,6 +55,7 @@
 		n.gateway.UseGatherers(agent)
 		burst := peers.BurstBudget{Total: set.Declared.SecondRequestBurst, Zones: set.Declared.Zones, Window: settings.Duration(set.Declared.SecondRequestWindowMs)}
 		agent.EnableBurstSharing(burst, n.table.SetBurstLimits)
+		agent.EnableSingleHandoff(func(int) {})
 	}
 	if set.Peers.Feed {
 		n.follower.OnChange(server.NotifySubscribers)
@@ -156,7 +157,7 @@
 	if n.peering == nil {
 		return 0
 	}
-	return n.peering.agent.QueriesHandedOff.Load()
+	return n.peering.agent.Queries.HandedOff.Load()
 }
 
 // connected returns the names of the connected peers.
@@ -185,9 +186,10 @@
 	gauge("node_batches_sent", func() float64 { return float64(n.peering.agent.BatchesSent.Load()) })
 	gauge("node_batches_direct", func() float64 { return float64(n.peering.agent.BatchFallbacks.Load()) })
 	gauge("node_queries_handed", func() float64 { return float64(n.QueriesHandedOff()) })
-	gauge("node_queries_declined", func() float64 { return float64(n.peering.agent.QueriesDeclined.Load()) })
-	gauge("node_queries_taken_late", func() float64 { return float64(n.peering.agent.QueriesAcceptedLate.Load()) })
+	gauge("node_queries_declined", func() float64 { return float64(n.peering.agent.Queries.Declined.Load()) })
+	gauge("node_queries_taken_late", func() float64 { return float64(n.peering.agent.Queries.AcceptedLate.Load()) })
 	gauge("node_queries_gathered", func() float64 { return float64(n.peering.server.QueriesServed.Load()) })
+	n.registerSingleGauges(gauge)
 	gauge("node_peers_silent", func() float64 { return float64(n.peering.agent.PeerTimeouts.Load()) })
 	gauge("node_batches_served", func() float64 { return float64(n.peering.server.BatchesServed.Load()) })
 	gauge("node_batch_calls_served", func() float64 { return float64(n.peering.server.LeafCallsServed.Load()) })
--- a/pkg/oplog/levels.go
+++ b/pkg/oplog/levels.go
@@ -18,6 +18,9 @@
 	"query_asked":      logrus.DebugLevel,
 	"peer_connected":   logrus.DebugLevel,
 
+	"request_handed_off": logrus.DebugLevel,
+	"request_granted":    logrus.DebugLevel,
+
 	"store_lost":                logrus.WarnLevel,
 	"store_history_gone":        logrus.WarnLevel,
 	"store_restored":            logrus.WarnLevel,
@@ -46,6 +49,11 @@
 	"query_taken_back":          logrus.WarnLevel,
 	"query_taken_late":          logrus.WarnLevel,
 	"query_not_granted":         logrus.WarnLevel,
+	"request_taken_back":        logrus.WarnLevel,
+	"request_taken_late":        logrus.WarnLevel,
+	"request_not_granted":       logrus.WarnLevel,
+	"request_peer_lost":         logrus.WarnLevel,
+	"request_ended_elsewhere":   logrus.WarnLevel,
 	"request_failed":            logrus.WarnLevel,
 	"request_suspect":           logrus.WarnLevel,
 	"query_given_up":            logrus.WarnLevel,
--- a/pkg/peers/clientconn.go
+++ b/pkg/peers/clientconn.go
@@ -36,10 +36,10 @@
 	batches    map[uint64]*pendingBatch
 	queries    map[uint64]*handedOffQuery
 	closed     bool
-	// withdrawn maps the numbers of queries that the peer did not accept in time to their request
-	// IDs. onLateAccept is called when the peer accepts one of them nevertheless.
-	withdrawn    map[uint64]string
-	onLateAccept func(c *clientConn, request string)
+	// withdrawn holds the requests that the peer did not accept in time, by their numbers.
+	// onLateAccept is called when the peer accepts one of them nevertheless.
+	withdrawn    map[uint64]withdrawnOffer
+	onLateAccept func(*clientConn, withdrawnOffer)
 	// lastFrameAt is when the last frame arrived. A pointer to a time.Time keeps the monotonic
 	// clock reading, which changes of the wall clock do not affect.
 	lastFrameAt atomic.Pointer[time.Time]
@@ -81,7 +81,7 @@
 	c := &clientConn{
 		peer: peer, conn: conn, codec: codec, w: bufio.NewWriter(conn),
 		texts: textEncoder{numbers: make(map[string]uint16)}, batches: make(map[uint64]*pendingBatch), queries: make(map[uint64]*handedOffQuery),
-		withdrawn: make(map[uint64]string),
+		withdrawn: make(map[uint64]withdrawnOffer),
 	}
 	if err := c.writeLocked(kindHello, hello{Version: protocolVersion, Name: self.Name, Zone: self.Zone}); err != nil {
 		_ = conn.Close() // The error of the write is reported.
--- a/pkg/peers/frames.go
+++ b/pkg/peers/frames.go
@@ -15,7 +15,7 @@
 
 // protocolVersion is the version of the frame protocol. Peers of another version are not used:
 // their leafs are called directly until the peer is upgraded.
-const protocolVersion = 5
+const protocolVersion = 6
 
 // maxFrameBytes is the maximum size of the content of a frame. It fits the largest request body and
 // the parts of a few hundred shards.
@@ -55,6 +55,11 @@
 	kindUpdate
 	// kindGrant allows the server to run an accepted query (client to server).
 	kindGrant
+	// kindSingle asks the server to run a request that goes to a single leaf (client to server).
+	// It is accepted and granted like a query; kindSingleAnswer returns its outcome (server to
+	// client).
+	kindSingle
+	kindSingleAnswer
 )
 
 // numbered is the content of frames that only name a batch or query.
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -84,14 +84,13 @@
 	// BatchesSent counts batches sent through a peer, BatchFallbacks those for which no usable
 	// peer was available, and PeerTimeouts the times that a peer did not answer in time.
 	BatchesSent, BatchFallbacks, PeerTimeouts atomic.Int64
-	// QueriesHandedOff counts queries offered to a gatherer, QueriesDeclined those that the
-	// gatherer declined, or whose connection was closed before they were granted.
-	QueriesHandedOff, QueriesDeclined atomic.Int64
-	// QueriesAcceptedLate counts queries that a peer accepted after this instance had withdrawn
-	// them.
-	QueriesAcceptedLate atomic.Int64
-	done                chan struct{}
-	close               sync.Once
+	// Queries and Singles count the queries and the requests to a single leaf that were offered
+	// to gatherers.
+	Queries, Singles HandoffCounts
+	// runners passes on the number of instances that run single requests.
+	runners singleRunners
+	done    chan struct{}
+	close   sync.Once
 }
 
 // New returns the agent of an instance that exchanges membership datagrams on udp.
@@ -241,6 +240,7 @@
 	if p.setBursts != nil {
 		p.setBursts(p.burst.compute(p.roles, members, self.Zone, now))
 	}
+	p.runners.update(p.roles.singleRunners)
 	if p.setWarmers != nil {
 		p.setWarmers(p.warmup.update(self, members, p.roles, now))
 	}
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -44,6 +44,8 @@
 	return t.proof, t.body
 }
 func (textCodec) JoinReply(proof string, body []byte) gateway.Content { return textReply{proof, body} }
+func (textCodec) WholeReply(r gateway.LeafReply) Reply                { return r.Content.(Reply) }
+func (textCodec) JoinWholeReply(r Reply) gateway.Content              { return r }
 func (textCodec) Merge(bodies [][]byte, _ int) []byte                 { return bytes.Join(bodies, []byte("+")) }
 
 // fakeLeafs is a gateway.LeafClient that answers with the function do.
@@ -409,6 +411,8 @@
 		{kindHello, hello{Version: 1}}, {kindBatch, batch{Number: 1, Leafs: []textRef{{Number: 1, Text: "a b"}}}},
 		{kindBatchReplies, batchReplies{Number: 1, Parts: []leafPart{{Leaf: 9}}}}, {kindQuery, query{Number: 1, CallerTimeoutUs: 9}},
 		{kindAnswer, answer{Number: 1, Coverage: []byte{0, 1}, Proofs: []string{"p"}}}, {kindCancel, numbered{Number: 1}},
+		{kindSingle, query{Number: 1, CallerTimeoutUs: 9}},
+		{kindSingleAnswer, singleAnswer{Number: 1, Relayed: &leafReplyFrame{Status: 200, Header: []string{"A", "b"}, Body: []byte("x")}}},
 		{kindFeedStatus, feedStatus{At: pos(3)}}, {kindSubscribe, subscribeRequest{After: pos(3)}},
 	} {
 		var buffer bytes.Buffer
@@ -431,6 +435,9 @@
 		if a, err := decode[answer](content); err == nil {
 			checkAnswer(t, a)
 		}
+		if a, err := decode[singleAnswer](content); err == nil {
+			checkSingleAnswer(t, a)
+		}
 		if got, err := decode[batchReplies](content); err == nil {
 			checkBatchReplies(t, got)
 		}
@@ -460,3 +467,18 @@
 		require.Equal(t, a.Code == errcode.OK && shard.MissingReason == fanout.Covered, shard.Reply != nil)
 	}
 }
+
+// checkSingleAnswer checks that a decoded answer has a reply if and only if it is a success, and that
+// its status can be written to a caller.
+func checkSingleAnswer(t *testing.T, f singleAnswer) {
+	a, err := decodeSingleAnswer(f, textCodec{})
+	if err != nil {
+		return
+	}
+	require.Equal(t, a.Code == errcode.OK, a.Relayed != nil)
+	require.NotZero(t, a.Code.HTTPStatus())
+	if a.Relayed != nil {
+		status := a.Relayed.Content.(Reply).Status
+		require.True(t, status >= minReplyStatus && status <= maxReplyStatus)
+	}
+}
--- a/pkg/peers/query_test.go
+++ b/pkg/peers/query_test.go
@@ -24,6 +24,10 @@
 	return f(ctx, req, version, granted)
 }
 
+func (f queryRunnerFunc) RunSingle(ctx context.Context, req *gateway.Request, version int64, granted func() bool) (gateway.Answer, bool) {
+	return f(ctx, req, version, granted)
+}
+
 // queryFixture is an agent whose queries are run by a peer.
 type queryFixture struct {
 	*serverFixture
@@ -35,7 +39,7 @@
 	b.server.queries = run
 	peer := membership.Member{Name: "peer"}
 	agent := &Peers{
-		log: discardLog(), conns: map[string]*clientConn{"peer": b.conn}, avoidUntil: map[string]time.Time{},
+		codec: textCodec{}, log: discardLog(), conns: map[string]*clientConn{"peer": b.conn}, avoidUntil: map[string]time.Time{},
 		roles: roles{gatherers: []membership.Member{peer}},
 	}
 	return &queryFixture{serverFixture: b, agent: agent}
--- a/pkg/peers/queryclient.go
+++ b/pkg/peers/queryclient.go
@@ -19,6 +19,16 @@
 type queryEvent struct {
 	kind   queryEventKind
 	answer answer
+	// single is the answer to a request that goes to a single leaf; nil for a query.
+	single *singleAnswer
+}
+
+// elapsed returns the time that the peer had the query.
+func (e queryEvent) elapsed() time.Duration {
+	if e.single != nil {
+		return micros(e.single.ElapsedUs)
+	}
+	return micros(e.answer.ElapsedUs)
 }
 
 // queryEventKind is the kind of a queryEvent.
@@ -55,6 +65,10 @@
 		event.kind = queryAnswered
 		event.answer, err = decode[answer](raw)
 		number = event.answer.Number
+	case kindSingleAnswer:
+		var f singleAnswer
+		f, err = decode[singleAnswer](raw)
+		event.kind, event.single, number = queryAnswered, &f, f.Number
 	default:
 		return errFrameKind
 	}
@@ -67,14 +81,14 @@
 		delete(c.queries, number)
 	}
 	if event.kind == queryAnswered && q != nil {
-		c.rtt.observe(time.Since(q.sentAt) - micros(event.answer.ElapsedUs))
+		c.rtt.observe(time.Since(q.sentAt) - event.elapsed())
 	}
-	request, wasWithdrawn := c.withdrawn[number]
+	offer, wasWithdrawn := c.withdrawn[number]
 	delete(c.withdrawn, number)
 	c.mu.Unlock()
 	if q == nil {
 		if wasWithdrawn && event.kind == queryAccepted && c.onLateAccept != nil {
-			c.onLateAccept(c, request)
+			c.onLateAccept(c, offer)
 		}
 		return nil
 	}
@@ -88,6 +102,11 @@
 
 // sendQuery offers a query to the peer. ok is false if nothing was sent.
 func (c *clientConn) sendQuery(q gateway.GatherQuery) (number uint64, pending *handedOffQuery, ok bool) {
+	return c.sendOffer(queryHandoff, q)
+}
+
+// sendOffer offers a request of the given kind to the peer. ok is false if nothing was sent.
+func (c *clientConn) sendOffer(kind *handoffKind, q gateway.GatherQuery) (number uint64, pending *handedOffQuery, ok bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.closed {
@@ -102,7 +121,7 @@
 		AgeUs: uint64(time.Since(req.Arrived).Microseconds()), TransitUs: uint64((req.NetworkDelay + c.rttLocked()).Microseconds()),
 		CallerTimeoutUs: uint64(req.Timeout.Microseconds()),
 	}
-	if err := c.writeLocked(kindQuery, f); err != nil {
+	if err := c.writeLocked(kind.frame, f); err != nil {
 		go c.closeWithError(err)
 	}
 	return c.lastNumber, pending, true
@@ -136,21 +155,27 @@
 // maxWithdrawn is the maximum number of withdrawn queries that a connection remembers.
 const maxWithdrawn = 256
 
-// withdrawQuery cancels a query that the peer did not accept in time.
-func (c *clientConn) withdrawQuery(number uint64, request string) {
+// withdrawnOffer is a request that the peer did not accept in time.
+type withdrawnOffer struct {
+	kind    *handoffKind
+	request string
+}
+
+// withdraw cancels a request that the peer did not accept in time.
+func (c *clientConn) withdraw(number uint64, offer withdrawnOffer) {
 	c.cancelQuery(number)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.withdrawn) >= maxWithdrawn {
 		clear(c.withdrawn)
 	}
-	c.withdrawn[number] = request
+	c.withdrawn[number] = offer
 }
 
-// handleLateAccept records that a peer accepted a query after it was withdrawn.
-func (p *Peers) handleLateAccept(c *clientConn, request string) {
-	p.QueriesAcceptedLate.Add(1)
-	p.log.Decision("query_taken_late", oplog.Fields{"request": request, "peer": c.peer.Name})
+// handleLateAccept records that a peer accepted a request after it was withdrawn.
+func (p *Peers) handleLateAccept(c *clientConn, offer withdrawnOffer) {
+	offer.kind.counts(p).AcceptedLate.Add(1)
+	p.log.Decision(offer.kind.acceptedLate, oplog.Fields{"request": offer.request, "peer": c.peer.Name})
 }
 
 // micros converts a number of microseconds to a duration.
--- a/pkg/peers/queryserver.go
+++ b/pkg/peers/queryserver.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"strings"
 	"time"
 
@@ -11,12 +12,15 @@
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 )
 
-// QueryRunner runs whole queries for peers in the zone of this instance.
+// QueryRunner runs whole queries, and requests to single leafs, for peers in the zone of this
+// instance.
 type QueryRunner interface {
 	// Gather runs a query under the given version of the configuration. It calls granted before
 	// it sends anything, and runs the query only if that returns true. ok is false if the query
 	// did not run and will not run.
 	Gather(ctx context.Context, req *gateway.Request, configVersion int64, granted func() bool) (a gateway.Answer, ok bool)
+	// RunSingle is like Gather for a request that goes to a single leaf.
+	RunSingle(ctx context.Context, req *gateway.Request, configVersion int64, granted func() bool) (a gateway.Answer, ok bool)
 }
 
 // query asks a peer in the same zone to run a whole query.
@@ -70,8 +74,17 @@
 	answerGrace = 50 * time.Millisecond
 )
 
-// prepareQuery decodes a query, registers it and returns the function that runs it.
-func (c *serverConn) prepareQuery(q query) (func(), error) {
+// errRepeatedNumber is returned for a query or single request whose number is not greater than that
+// of the one before. If a grant were repeated too, the request would run twice.
+var errRepeatedNumber = errors.New("the number of a query is repeated")
+
+// prepareQuery decodes a query or single request, registers it and returns the function that runs
+// it.
+func (c *serverConn) prepareQuery(work *servedKind, q query) (func(), error) {
+	if q.Number <= c.lastNumber {
+		return nil, errRepeatedNumber
+	}
+	c.lastNumber = q.Number
 	request, err := c.texts.decodeRequest(q.Request)
 	if err != nil {
 		return nil, err
@@ -88,38 +101,36 @@
 	return func() {
 		defer c.unregister(q.Number)
 		defer cancel()
-		c.runQuery(ctx, q, h, req, now)
+		c.runQuery(ctx, work, q, h, req, now)
 	}, nil
 }
 
-// runQuery runs a query that was received at the given time, and sends its answer. A failed write
-// closes the connection, which tells the requesting peer that the query is lost.
-func (c *serverConn) runQuery(ctx context.Context, q query, h *handoff, req *gateway.Request, receivedAt time.Time) {
+// runQuery runs a query or single request that was received at the given time, and sends its answer.
+// A failed write closes the connection, which tells the requesting peer that it is lost.
+func (c *serverConn) runQuery(ctx context.Context, work *servedKind, q query, h *handoff, req *gateway.Request, receivedAt time.Time) {
 	c.s.inFlight.Add(1)
 	defer c.s.inFlight.Add(-1)
-	if c.s.queries == nil || ctx.Err() != nil {
+	if c.s.queries == nil || ctx.Err() != nil || work.declinedWhileDraining && c.s.draining.Load() {
 		_ = c.write(kindDeclined, numbered{Number: q.Number})
 		return
 	}
-	a, ok := c.s.queries.Gather(ctx, req, q.ConfigVersion, func() bool {
+	a, ok := work.run(c.s.queries, ctx, req, q.ConfigVersion, func() bool {
 		c.scheduleHeartbeat()
 		_ = c.write(kindAccepted, numbered{Number: q.Number})
 		if !c.waitForGrant(ctx, h) {
-			c.s.log.Decision("query_not_granted", oplog.Fields{
+			c.s.log.Decision(work.notGranted, oplog.Fields{
 				"request": req.ID, "content": req.Key.String(), "peer": c.peer.Name, "after_ms": time.Since(receivedAt).Milliseconds(),
 			})
 			return false
 		}
-		c.s.QueriesServed.Add(1)
+		work.recordGrant(c, req)
 		return true
 	})
 	switch {
 	case !ok:
 		_ = c.write(kindDeclined, numbered{Number: q.Number})
 	case ctx.Err() == nil:
-		f := c.encodeAnswer(q.Number, a)
-		f.ElapsedUs = uint64(time.Since(receivedAt).Microseconds())
-		_ = c.write(kindAnswer, f)
+		work.answer(c, q.Number, a, time.Since(receivedAt))
 	}
 }
 
--- a/pkg/peers/querywait.go
+++ b/pkg/peers/querywait.go
@@ -13,16 +13,23 @@
 
 // HandOff implements gateway.Gatherers.
 func (p *Peers) HandOff(ctx context.Context, q gateway.GatherQuery) (gateway.Answer, bool) {
+	return p.handOff(ctx, queryHandoff, q)
+}
+
+// handOff offers a request to a gatherer and waits for its outcome. ok is false if this instance is
+// to run it.
+func (p *Peers) handOff(ctx context.Context, kind *handoffKind, q gateway.GatherQuery) (a gateway.Answer, ok bool) {
 	c := p.gathererConn(time.Now())
 	if c == nil {
-		return gateway.Answer{}, false
+		return a, false
 	}
-	number, pending, ok := c.sendQuery(q)
+	number, pending, ok := c.sendOffer(kind, q)
 	if !ok {
-		return gateway.Answer{}, false
+		return a, false
 	}
-	p.QueriesHandedOff.Add(1)
-	wait := &queryWait{p: p, c: c, number: number, handedOff: pending, query: q}
+	kind.counts(p).HandedOff.Add(1)
+	p.logOffer(kind.handedOff, q, c.peer.Name, nil)
+	wait := &queryWait{p: p, c: c, kind: kind, number: number, handedOff: pending, query: q}
 	return wait.run(ctx)
 }
 
@@ -30,6 +37,7 @@
 type queryWait struct {
 	p         *Peers
 	c         *clientConn
+	kind      *handoffKind
 	number    uint64
 	handedOff *handedOffQuery
 	query     gateway.GatherQuery
@@ -76,7 +84,7 @@
 		}
 		return a, false, false
 	case queryAnswered:
-		a, err := w.decodeAnswer(e.answer)
+		a, err := w.decodeEvent(e)
 		if err != nil {
 			w.c.closeWithError(err)
 			return w.peerLostAnswer(), true, true
@@ -87,10 +95,29 @@
 	if !w.offer.withdraw() {
 		return w.peerLostAnswer(), true, true
 	}
-	w.p.QueriesDeclined.Add(1)
+	w.kind.counts(w.p).Declined.Add(1)
+	cause := "declined"
+	if e.kind == queryLost {
+		cause = "connection closed"
+	}
+	w.p.logOffer(w.kind.declined, w.query, w.c.peer.Name, oplog.Fields{"cause": cause, "after_ms": w.age().Milliseconds()})
 	return a, false, true
 }
 
+// age returns the time since the request was read.
+func (w *queryWait) age() time.Duration { return time.Since(w.query.Request.Arrived) }
+
+// decodeEvent decodes the answer of an event.
+func (w *queryWait) decodeEvent(e queryEvent) (gateway.Answer, error) {
+	switch {
+	case w.kind == queryHandoff && e.single == nil:
+		return w.decodeAnswer(e.answer)
+	case w.kind == singleHandoff && e.single != nil:
+		return decodeSingleAnswer(*e.single, w.c.codec)
+	}
+	return gateway.Answer{}, errMalformedAnswer
+}
+
 // handleTimeout is called when no event arrived until expectedBy.
 func (w *queryWait) handleTimeout(timer *time.Timer) (a gateway.Answer, ok, done bool) {
 	now := time.Now()
@@ -103,11 +130,9 @@
 	switch {
 	case w.offer.withdraw():
 		w.query.Request.HandoffTimedOut = true
-		w.c.withdrawQuery(w.number, w.query.Request.ID)
-		w.p.log.Decision("query_taken_back", oplog.Fields{
-			"request": w.query.Request.ID, "route": w.query.Route.Name, "peer": w.c.peer.Name,
-			"after_ms": now.Sub(w.query.Request.Arrived).Milliseconds(),
-		})
+		w.c.withdraw(w.number, withdrawnOffer{kind: w.kind, request: w.query.Request.ID})
+		w.kind.counts(w.p).TakenBack.Add(1)
+		w.p.logOffer(w.kind.takenBack, w.query, w.c.peer.Name, oplog.Fields{"after_ms": w.age().Milliseconds()})
 		w.p.handleTimeout(w.c)
 		return a, false, true
 	case now.After(w.query.Deadline.Add(answerGrace)):
@@ -136,10 +161,9 @@
 
 // peerLostAnswer logs the loss of the peer of a granted query and returns the answer.
 func (w *queryWait) peerLostAnswer() gateway.Answer {
-	req := w.query.Request
-	w.p.log.Decision("gatherer_lost", oplog.Fields{
-		"request": req.ID, "content": req.Key.String(), "route": w.query.Route.Name, "peer": w.c.peer.Name, "code": errcode.PeerLost.String(),
-		"after_ms": time.Since(req.Arrived).Milliseconds(),
+	w.kind.counts(w.p).Lost.Add(1)
+	w.p.logOffer(w.kind.lost, w.query, w.c.peer.Name, oplog.Fields{
+		"content": w.query.Request.Key.String(), "code": errcode.PeerLost.String(), "after_ms": w.age().Milliseconds(),
 	})
 	return gateway.Answer{Code: errcode.PeerLost}
 }
@@ -147,7 +171,7 @@
 // decodeAnswer decodes an answer. The first covered shard gets the merged records.
 func (w *queryWait) decodeAnswer(f answer) (gateway.Answer, error) {
 	a := gateway.Answer{Code: errcode.Code(f.Code), RetryAfter: micros(f.RetryAfterUs)}
-	if !a.Code.Known() || len(f.Coverage) != len(w.query.Route.Shards) || slices.ContainsFunc(f.Coverage, isUnknownCoverage) {
+	if !isHTTPCode(a.Code) || len(f.Coverage) != len(w.query.Route.Shards) || slices.ContainsFunc(f.Coverage, isUnknownCoverage) {
 		return a, errMalformedAnswer
 	}
 	a.Shards = make([]gateway.ShardAnswer, len(f.Coverage))
--- a/pkg/peers/roles.go
+++ b/pkg/peers/roles.go
@@ -32,6 +32,8 @@
 	// gathererCount is the number of gatherers of this zone, and localPeers the number of other
 	// usable members of this zone.
 	gathererCount, localPeers int
+	// singleRunners is the number of gatherers of all zones together.
+	singleRunners int
 	// usablePeers is the number of other usable members in all zones.
 	usablePeers int
 }
@@ -90,6 +92,7 @@
 	r := roles{batchers: make(map[string][]membership.Member)}
 	readers := storeReaders(self, zones)
 	r.remoteReaders, r.readerRank = selectRemoteReaders(self, readers, avoided), readerRank(self, readers)
+	r.singleRunners = countGatherers(self, zones)
 	for zone, in := range zones {
 		r.usablePeers += len(in)
 		if zone == self.Zone {
--- a/pkg/peers/server.go
+++ b/pkg/peers/server.go
@@ -28,6 +28,10 @@
 	// as a leaf's work on one request, and its body. JoinReply is the inverse.
 	SplitReply(reply gateway.LeafReply) (proof string, body []byte)
 	JoinReply(proof string, body []byte) gateway.Content
+	// WholeReply returns a leaf's reply with everything that a caller receives of it.
+	// JoinWholeReply is the inverse.
+	WholeReply(reply gateway.LeafReply) Reply
+	JoinWholeReply(r Reply) gateway.Content
 	// Merge merges several bodies into one that gives the same answer.
 	Merge(bodies [][]byte, topK int) []byte
 }
@@ -46,10 +50,12 @@
 	codec     Codec
 	pool      *ants.Pool
 	log       *oplog.Log
-	// BatchesServed, LeafCallsServed and QueriesServed count the work done for peers. inFlight is
-	// the number of batches and queries in progress.
-	BatchesServed, LeafCallsServed, QueriesServed atomic.Int64
-	inFlight                                      atomic.Int64
+	// BatchesServed, LeafCallsServed, QueriesServed and SinglesServed count the work done for peers.
+	// inFlight is the number of batches, queries and single requests in progress.
+	BatchesServed, LeafCallsServed, QueriesServed, SinglesServed atomic.Int64
+	inFlight                                                     atomic.Int64
+	// draining is set when the instance stops. Single requests are then declined.
+	draining atomic.Bool
 
 	// maxConns is the maximum number of connections. rejectedConns counts connections that were
 	// closed because of it or of maxAwaitingHello.
@@ -133,9 +139,14 @@
 // drainPollInterval is how often Drain checks whether all work has ended.
 const drainPollInterval = 10 * time.Millisecond
 
-// Drain waits until no batch and no query is in flight, or ctx ends. Peers that know that this
-// instance leaves send no new ones.
+// Drain waits until no batch, query or single request is in flight, or ctx ends. Peers that know
+// that this instance leaves send no new ones.
+//
+// From now on single requests are declined, which costs their owners a round trip. One that was
+// accepted after the wait and before the connections are closed would be lost, and the outcome of an
+// at-most-once request unknown.
 func (s *Server) Drain(ctx context.Context) {
+	s.draining.Store(true)
 	ticker := time.NewTicker(drainPollInterval)
 	defer ticker.Stop()
 	for s.inFlight.Load() > 0 {
--- a/pkg/peers/serverconn.go
+++ b/pkg/peers/serverconn.go
@@ -19,6 +19,8 @@
 	conn  net.Conn
 	peer  hello
 	texts textDecoder
+	// lastNumber is the number of the last query or single request. Only the reader uses it.
+	lastNumber uint64
 	// ctx ends with the connection, so that leaf calls for a peer that is gone are cancelled.
 	ctx context.Context
 
@@ -128,12 +130,12 @@
 			return nil, err
 		}
 		return w.run, nil
-	case kindQuery:
+	case kindQuery, kindSingle:
 		q, err := decode[query](raw)
 		if err != nil {
 			return nil, err
 		}
-		return c.prepareQuery(q)
+		return c.prepareQuery(servedKindOf(k), q)
 	case kindSubscribe:
 		l, err := decode[subscribeRequest](raw)
 		if err == nil {
