--- a/pkg/gateway/singlehandoff.go
+++ b/pkg/gateway/singlehandoff.go
@@ -33,10 +33,14 @@
 // RunSingle runs a request that goes to one leaf for another instance of the zone. granted and ok
 // are as for Gather.
 //
-// If ctx ends, which means that the caller has disconnected or the other instance is lost, the leaf
-// call of a repeatable request is cancelled and that of an at-most-once request is completed.
+// ctx ends when the caller has disconnected or the other instance is lost. A repeatable request is
+// then cancelled. An at-most-once request is completed and stays in flight until it has ended, so
+// that a stopping instance waits for it.
 func (g *Gateway) RunSingle(ctx context.Context, req *Request, version int64, granted func() bool) (a Answer, ok bool) {
 	return g.runForPeer(req, version, granted, isSingle, func(route *routing.Route) Answer {
+		if route.Kind == routing.AtMostOnce {
+			ctx = context.WithoutCancel(ctx)
+		}
 		return g.runSingle(ctx, req, route, g.deadline(req, route))
 	})
 }
