Do not take a peer for silent after a cancelled batch

Cause: a peer sends no frame for a batch that is cancelled before its flush time, but the client still waited for the first frame, counted the peer as silent and avoided it for 2 s. Found by reading.

Ruled out here: ending the calls of a cancelled batch at once. They stay in flight in the replica table until 500 ms after the deadline and then end as PeerLost; ending them earlier changes the choice of leafs and needs a measurement.

Conclusion: callers that leave no longer make their peers unused.

--- a/pkg/peers/clientconn.go
+++ b/pkg/peers/clientconn.go
@@ -56,7 +56,7 @@
 	remaining    int    // The number of open calls.
 	sentAt       time.Time
 	timer        *time.Timer
-	acknowledged bool // The first frame has arrived.
+	acknowledged bool // The first frame has arrived, or none is expected after a cancellation.
 }
 
 const (
@@ -138,9 +138,11 @@
 func (c *clientConn) cancelBatch(number uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.batches[number] == nil {
+	p := c.batches[number]
+	if c.closed || p == nil {
 		return
 	}
+	p.acknowledged = true
 	if err := c.writeLocked(kindCancel, numbered{Number: number}); err != nil {
 		go c.closeWithError(err)
 	}
@@ -302,13 +304,6 @@
 	c.onClosed(c, err)
 }
 
-// resetBatchRTT clears the average, so that the peer is tried again.
-func (c *clientConn) resetBatchRTT() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.batchRTT = 0
-}
-
 // state reports whether the connection is usable, how many batches and queries are open on it, and
 // the average round-trip time of batches.
 func (c *clientConn) state() (usable bool, open int, batchRTT time.Duration) {
--- a/pkg/peers/rtt.go
+++ b/pkg/peers/rtt.go
@@ -44,3 +44,10 @@
 	}
 	return min(c.rtt.mean+rttDeviations*c.rtt.deviation, maxRTT)
 }
+
+// resetBatchRTT clears the average, so that the peer is tried again.
+func (c *clientConn) resetBatchRTT() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.batchRTT = 0
+}
