--- a/pkg/peers/clientconn.go
+++ b/pkg/peers/clientconn.go
@@ -36,10 +36,10 @@
 	batches    map[uint64]*pendingBatch
 	queries    map[uint64]*handedOffQuery
 	closed     bool
-	// withdrawn maps the numbers of queries that the peer did not accept in time to their request
-	// IDs. onLateAccept is called when the peer accepts one of them nevertheless.
-	withdrawn    map[uint64]string
-	onLateAccept func(c *clientConn, request string)
+	// withdrawn holds the requests that the peer did not accept in time, by their numbers.
+	// onLateAccept is called when the peer accepts one of them nevertheless.
+	withdrawn    map[uint64]withdrawnOffer
+	onLateAccept func(*clientConn, withdrawnOffer)
 	// lastFrameAt is when the last frame arrived. A pointer to a time.Time keeps the monotonic
 	// clock reading, which changes of the wall clock do not affect.
 	lastFrameAt atomic.Pointer[time.Time]
@@ -56,7 +56,7 @@
 	remaining    int    // The number of open calls.
 	sentAt       time.Time
 	timer        *time.Timer
-	acknowledged bool // The first frame has arrived.
+	acknowledged bool // The first frame has arrived, or none is expected after a cancellation.
 }
 
 const (
@@ -81,7 +81,7 @@
 	c := &clientConn{
 		peer: peer, conn: conn, codec: codec, w: bufio.NewWriter(conn),
 		texts: textEncoder{numbers: make(map[string]uint16)}, batches: make(map[uint64]*pendingBatch), queries: make(map[uint64]*handedOffQuery),
-		withdrawn: make(map[uint64]string),
+		withdrawn: make(map[uint64]withdrawnOffer),
 	}
 	if err := c.writeLocked(kindHello, hello{Version: protocolVersion, Name: self.Name, Zone: self.Zone}); err != nil {
 		_ = conn.Close() // The error of the write is reported.
@@ -138,9 +138,11 @@
 func (c *clientConn) cancelBatch(number uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.batches[number] == nil {
+	p := c.batches[number]
+	if c.closed || p == nil {
 		return
 	}
+	p.acknowledged = true
 	if err := c.writeLocked(kindCancel, numbered{Number: number}); err != nil {
 		go c.closeWithError(err)
 	}
@@ -302,13 +304,6 @@
 	c.onClosed(c, err)
 }
 
-// resetBatchRTT clears the average, so that the peer is tried again.
-func (c *clientConn) resetBatchRTT() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.batchRTT = 0
-}
-
 // state reports whether the connection is usable, how many batches and queries are open on it, and
 // the average round-trip time of batches.
 func (c *clientConn) state() (usable bool, open int, batchRTT time.Duration) {
