Queue single requests per service with learned windows per leaf

Cause: a single request was sent at once to the leaf that looked best to one instance; at 2 to 2.5 times the capacity more than half of them were rejected. Change: pkg/leafqueue decides whether a request starts, waits, is refused or is dropped; pkg/gateway runs the single requests of routes with a short timeout through it. replica.Table.PlaceWithRoom chooses among the leafs with room, and numbers leaf records so that a restarted leaf gets a new window. Ruled out: state by leaf ID, which would outlive a restart.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -197,6 +197,7 @@
 	// isolatedSince is when the instance was found isolated; nil when it is not isolated.
 	isolatedSince atomic.Pointer[time.Time]
 	evacuations   evacuations
+	singles       singleQueues
 	inFlight      atomic.Int64
 }
 
@@ -213,6 +214,7 @@
 	}
 	g.opts.Store(&opts)
 	stats.registerQuarantine(g.quarantine)
+	stats.registerSingleQueues(&g.singles)
 	return g, nil
 }
 
--- a/pkg/gateway/single.go
+++ b/pkg/gateway/single.go
@@ -46,24 +46,16 @@
 	if service == "" {
 		return g.refuse(req, route, errcode.ShardsUnavailable, g.opts.Load().RetryAfter)
 	}
+	if g.queuesSingle(route) {
+		return g.runQueued(ctx, req, route, service, deadline)
+	}
 	admission := g.quarantine.Admit(req.Key, time.Now())
 	if admission.Verdict == quarantine.Quarantined {
 		return g.refuseQuarantined(req, route, admission.RetryAfter)
 	}
-	// Calls that are still open when the answer is given, or when the caller has
-	// disconnected, are cancelled, since nobody needs their result. An at-most-once
-	// request is not cancelled: completing it is better than aborting it half way.
-	callCtx := context.WithoutCancel(ctx)
-	if route.Kind != routing.AtMostOnce {
-		var cancel context.CancelFunc
-		callCtx, cancel = context.WithCancel(ctx)
-		defer cancel()
-	}
-	run := &singleRun{
-		g: g, callerCtx: ctx, callCtx: callCtx, req: req, route: route, service: service, deadline: deadline,
-		replies:      make(chan LeafReply, max(route.MaxAttempts, 1)),
-		trialPending: admission.Verdict == quarantine.Suspect,
-	}
+	run, cancel := newSingleRun(ctx, g, req, route, service, deadline)
+	defer cancel()
+	run.trialPending = admission.Verdict == quarantine.Suspect
 	defer run.endTrial()
 	if run.trialPending {
 		g.logTrial(req, route, admission)
@@ -75,6 +67,25 @@
 	return run.wait()
 }
 
+// newSingleRun returns the state of a request without calls. cancel ends its calls.
+//
+// Calls that are still open when the answer is given, or when the caller has disconnected, are
+// cancelled, since nobody needs their result. An at-most-once request is not cancelled: completing
+// it is better than aborting it half way.
+func newSingleRun(
+	ctx context.Context, g *Gateway, req *Request, route *routing.Route, service string, deadline time.Time,
+) (run *singleRun, cancel context.CancelFunc) {
+	callCtx := context.WithoutCancel(ctx)
+	cancel = func() {}
+	if route.Kind != routing.AtMostOnce {
+		callCtx, cancel = context.WithCancel(ctx)
+	}
+	return &singleRun{
+		g: g, callerCtx: ctx, callCtx: callCtx, req: req, route: route, service: service, deadline: deadline,
+		replies: make(chan LeafReply, max(route.MaxAttempts, 1)),
+	}, cancel
+}
+
 // send selects a leaf for the next attempt, sends it, and reports whether it did.
 func (r *singleRun) send(why string) bool {
 	now := time.Now()
@@ -142,12 +153,21 @@
 }
 
 // handleReply processes one reply, and returns the answer or sends the request to another leaf.
-//
-// An at-most-once request is sent again only if it certainly did not run. A connection that
-// ends after the request was written proves nothing: the leaf may have run it and lost the
-// answer. A second leaf would then run it again, and one request would have two effects. Its
-// outcome is reported as unknown.
 func (r *singleRun) handleReply(reply LeafReply) (Answer, bool) {
+	if r.recordReply(reply) {
+		return Answer{Code: errcode.OK, Relayed: &reply}, true
+	}
+	if r.mayRepeat(reply) && r.send("repeat") {
+		return Answer{}, false
+	}
+	if r.inFlight > 0 {
+		return Answer{}, false
+	}
+	return r.failedAnswer(), true
+}
+
+// recordReply records one reply and reports whether it is the answer.
+func (r *singleRun) recordReply(reply LeafReply) bool {
 	r.inFlight--
 	r.lastReply = reply
 	if r.trialPending {
@@ -155,20 +175,22 @@
 		r.g.recordTrial(r.req, trialResult(reply.Outcome))
 	}
 	if reply.Outcome == replica.Answered {
-		return Answer{Code: errcode.OK, Relayed: &reply}, true
+		return true
 	}
 	if !reply.Outcome.NotRun() {
 		r.mayHaveRun = true
 	}
-	if r.route.Kind == routing.Repeatable || reply.Outcome.NotRun() {
-		if r.inFlight == 0 && r.send("repeat") {
-			return Answer{}, false
-		}
-	}
-	if r.inFlight > 0 {
-		return Answer{}, false
-	}
-	return r.failedAnswer(), true
+	return false
+}
+
+// mayRepeat reports whether the request may be sent again after a reply that is not the answer.
+//
+// An at-most-once request is sent again only if it certainly did not run. A connection that
+// ends after the request was written proves nothing: the leaf may have run it and lost the
+// answer. A second leaf would then run it again, and one request would have two effects. Its
+// outcome is reported as unknown.
+func (r *singleRun) mayRepeat(reply LeafReply) bool {
+	return r.inFlight == 0 && (r.route.Kind == routing.Repeatable || reply.Outcome.NotRun())
 }
 
 // endTrial records the result of a trial that ended without an outcome of its leaf call.
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -10,6 +10,7 @@
 	"github.com/cloudwego/hertz/pkg/app"
 
 	"github.com/indigoyoke/indigoyoke/pkg/front"
+	"github.com/indigoyoke/indigoyoke/pkg/leafqueue"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
@@ -73,6 +74,8 @@
 	Quarantine []quarantine.State `json:"quarantine"`
 	// EvacuatedZones lists the availability zones whose leafs must not get requests.
 	EvacuatedZones []string `json:"evacuated"`
+	// SingleQueues lists the queues of single requests.
+	SingleQueues []leafqueue.State `json:"single_queues"`
 	// Peers lists the names of the connected peers.
 	Peers []string   `json:"peers"`
 	Store StoreState `json:"store"`
@@ -99,6 +102,7 @@
 		UptimeMs: time.Since(n.started).Milliseconds(), InFlight: n.gateway.InFlight(),
 		OpenConns: n.pool.Stats.OpenConns.Load(), Leafs: n.table.Dump(time.Now()), Members: n.peering.state(), Peers: n.peering.connected(),
 		EvacuatedZones: n.table.EvacuatedZones(),
+		SingleQueues:   n.gateway.SingleQueues(time.Now()),
 		Quarantine:     n.gateway.Quarantine().Dump(time.Now()),
 		Store:          n.storeState(),
 	}
--- a/pkg/oplog/levels.go
+++ b/pkg/oplog/levels.go
@@ -16,6 +16,7 @@
 	"leaf_call_failed": logrus.DebugLevel,
 	"caller_left":      logrus.DebugLevel,
 	"query_asked":      logrus.DebugLevel,
+	"single_queued":    logrus.DebugLevel,
 	"peer_connected":   logrus.DebugLevel,
 
 	"store_lost":                logrus.WarnLevel,
--- a/pkg/replica/leaf_record.go
+++ b/pkg/replica/leaf_record.go
@@ -44,6 +44,8 @@
 // leafRecord is the state of one leaf as known to this instance.
 type leafRecord struct {
 	Leaf
+	// number identifies the record among all records of the table.
+	number uint64
 	// lapsed means that the leaf vanished from the list around an outage of the store.
 	lapsed bool
 
--- a/pkg/replica/membership.go
+++ b/pkg/replica/membership.go
@@ -104,6 +104,8 @@
 // add creates the record of a leaf.
 func (t *Table) add(leaf Leaf, now time.Time) {
 	r := newLeafRecord(leaf, now)
+	t.lastRecord++
+	r.number = t.lastRecord
 	t.leafs[leaf.ID] = r
 	t.attach(r)
 }
--- a/pkg/replica/placement.go
+++ b/pkg/replica/placement.go
@@ -41,8 +41,9 @@
 	NoLeaf
 	// AllDown means that the listed leafs are down or in suspected zones.
 	AllDown
-	// AllBusy means that this instance uses all its connections to each reachable leaf, or that
-	// the leaf is cold and has received this instance's share.
+	// AllBusy means that this instance uses all its connections to each reachable leaf, that the
+	// leaf is cold and has received this instance's share, or that the caller of PlaceWithRoom
+	// found no room at it.
 	AllBusy
 )
 
@@ -60,6 +61,8 @@
 	RefusalRate float64
 	// Suspect means that the leaf has not replied for longer than usual.
 	Suspect bool
+	// Record is the number of the leaf's record (see PlaceWithRoom).
+	Record uint64
 }
 
 // Place returns the leaf of a service with the lowest cost for a request of a class, excluding
@@ -67,19 +70,19 @@
 func (t *Table) Place(
 	serviceName, className string, tried []string, now time.Time,
 ) (Placement, PlaceResult) {
-	return t.place(serviceName, className, now, func(id string) bool { return !slices.Contains(tried, id) })
+	return t.place(serviceName, className, now, func(id string) bool { return !slices.Contains(tried, id) }, nil)
 }
 
 // PlaceAmong is like Place, but considers only the leafs in tried.
 func (t *Table) PlaceAmong(
 	serviceName, className string, tried []string, now time.Time,
 ) (Placement, PlaceResult) {
-	return t.place(serviceName, className, now, func(id string) bool { return slices.Contains(tried, id) })
+	return t.place(serviceName, className, now, func(id string) bool { return slices.Contains(tried, id) }, nil)
 }
 
-// place returns the eligible leaf with the lowest cost.
+// place returns the eligible leaf with the lowest cost. hasRoom is nil or as for PlaceWithRoom.
 func (t *Table) place(
-	serviceName, className string, now time.Time, eligible func(id string) bool,
+	serviceName, className string, now time.Time, eligible func(id string) bool, hasRoom RoomFunc,
 ) (Placement, PlaceResult) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -95,7 +98,7 @@
 			result = moreSpecificResult(result, AllDown)
 			continue
 		}
-		if t.atConnLimit(r, now) || t.atColdLimit(r, now) {
+		if t.atConnLimit(r, now) || t.atColdLimit(r, now) || (hasRoom != nil && !hasRoom(r.number, r.Slots)) {
 			result = moreSpecificResult(result, AllBusy)
 			continue
 		}
@@ -135,7 +138,7 @@
 func (t *Table) estimate(r *leafRecord, className string, now time.Time) (Placement, time.Duration) {
 	usualLatency := float64(t.typicalLatency(className)) * r.slownessNow(now)
 	expected := time.Duration(usualLatency * float64(1+len(r.inFlightStarts)))
-	p := Placement{Leaf: r.Leaf, ExpectedLatency: expected}
+	p := Placement{Leaf: r.Leaf, ExpectedLatency: expected, Record: r.number}
 	if r.silentTooLong(usualLatency, now) {
 		p.Suspect = true
 		p.ExpectedLatency += suspectPenalty
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -81,12 +81,14 @@
 // Table holds the state of all leafs, services, request classes and zones. It is safe for
 // concurrent use.
 type Table struct {
-	mu       sync.Mutex
-	opts     Options
-	leafs    map[string]*leafRecord
-	services map[string]*service
-	classes  map[string]*class
-	zones    map[string]*zoneState
+	mu    sync.Mutex
+	opts  Options
+	leafs map[string]*leafRecord
+	// lastRecord is the number of the latest leaf record.
+	lastRecord uint64
+	services   map[string]*service
+	classes    map[string]*class
+	zones      map[string]*zoneState
 	// evacuated are the zones whose leafs get no new requests.
 	evacuated map[string]bool
 	// departed holds the newest report of each leaf that was removed recently, by ID, so that a
