--- a/pkg/gateway/singlequeued.go
+++ b/pkg/gateway/singlequeued.go
@@ -12,10 +12,6 @@
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
 
-// maxWaitDivisor limits the wait of a single request to 1/4 of the route's target latency. A caller
-// that is refused later has lost time that its retry needs.
-const maxWaitDivisor = 4
-
 // queuedRun is a single request that goes through the queue of its service.
 //
 // Calls of the request are either in flight or one attempt waits, never both: a repeat is submitted
@@ -88,7 +84,7 @@
 
 // newAttempt returns the next attempt of the request.
 func (r *queuedRun) newAttempt() *leafqueue.Request {
-	startBy := r.req.Arrived.Add(r.target / maxWaitDivisor)
+	startBy := r.req.Arrived.Add(leafqueue.MaxWait(r.target))
 	if r.deadline.Before(startBy) {
 		startBy = r.deadline
 	}
--- a/pkg/leafqueue/leafqueue.go
+++ b/pkg/leafqueue/leafqueue.go
@@ -20,6 +20,16 @@
 // keeps queues far below it; it bounds the memory if the measured rate is far too high.
 const maxWaiting = 4096
 
+// maxWaitFraction is the fraction of the target latency for which a request may wait. The limit on
+// the time until a refusal is a quarter; the rest of it is for a call that a leaf rejects at the end
+// of the wait, and for the way of the refusal to the caller.
+const maxWaitFraction = 0.24
+
+// MaxWait returns how long a request with a target latency may wait.
+func MaxWait(target time.Duration) time.Duration {
+	return time.Duration(maxWaitFraction * float64(target))
+}
+
 // Placer chooses the leaf of a request and counts its second requests and requests in flight.
 // *replica.Table implements it.
 type Placer interface {
@@ -114,8 +124,9 @@
 	order     order
 	deadlines deadlines
 	rate      startRate
-	// meanLatency is the average latency of replies; zero: no reply yet.
-	meanLatency time.Duration
+	// meanLatency is the average latency of replies, and bestLatency the lowest one, which rises
+	// slowly; zero: no reply yet.
+	meanLatency, bestLatency time.Duration
 	// roomFunc is the method hasRoom, and search are its arguments and results for the placement
 	// in progress.
 	roomFunc replica.RoomFunc
@@ -150,7 +161,8 @@
 		}
 	}
 	expected := q.rate.expectedStart(ahead, now, q.fallbackGap(r.Class))
-	if now.Add(expected).After(r.StartBy) || !now.Before(r.StartBy) || q.order.count >= maxWaiting {
+	maxWait := r.StartBy.Sub(now)
+	if maxWait <= 0 || expected > q.rate.maxExpectedStart(maxWait, now) || q.order.count >= maxWaiting {
 		return q.decision(r, Refused, expected, now)
 	}
 	if q.order.count == 0 {
@@ -185,17 +197,17 @@
 // drop takes a request out of the waiting ones because it has waited for as long as it may.
 func (q *Queue) drop(r *Request, now time.Time) Decision {
 	expected := q.rate.expectedStart(q.order.countAhead(r), now, q.fallbackGap(r.Class))
-	q.remove(r)
+	q.remove(r, now)
 	return q.decision(r, Dropped, expected, now)
 }
 
 // remove takes a request out of the waiting ones.
-func (q *Queue) remove(r *Request) {
+func (q *Queue) remove(r *Request, now time.Time) {
 	r.isWaiting = false
 	q.order.remove(r)
 	q.deadlines.remove(r)
 	if q.order.count == 0 {
-		q.rate.end()
+		q.rate.end(now)
 	}
 }
 
--- a/pkg/leafqueue/next.go
+++ b/pkg/leafqueue/next.go
@@ -24,7 +24,8 @@
 // search holds the arguments and results of one placement.
 type search struct {
 	now time.Time
-	// relaxed admits leafs that rest and leafs whose window may grow on demand.
+	// relaxed admits leafs whose window may be exceeded and, unless requests have waited
+	// recently, those that rest.
 	relaxed bool
 	// sawRelaxable reports that a leaf without room would be admitted by a relaxed search.
 	sawRelaxable bool
@@ -40,7 +41,10 @@
 	if l.hasRoom() && !q.search.now.Before(l.restUntil) {
 		return true
 	}
-	relaxable := l.hasRoom() || l.mayGrowOnDemand(q.search.now)
+	relaxable := l.mayExceed()
+	if l.hasRoom() {
+		relaxable = !q.rate.waitedRecently(q.search.now)
+	}
 	q.search.sawRelaxable = q.search.sawRelaxable || relaxable
 	return relaxable && q.search.relaxed
 }
@@ -74,8 +78,7 @@
 	}
 	l := q.leaf(p, now)
 	q.inFlight++
-	l.begin()
-	q.windowSum += l.growToInFlight()
+	l.inFlight++
 	r.Lease = Lease{Placement: p, Call: call, leaf: l, startedAt: now, target: r.Target, class: r.Class, windowFull: !l.hasRoom()}
 	return Started
 }
@@ -126,7 +129,7 @@
 			q.rate.recordStart(now)
 			fallthrough
 		default:
-			q.remove(r)
+			q.remove(r, now)
 			out = append(out, q.decision(r, verdict, 0, now))
 		}
 		r = next
--- a/pkg/leafqueue/window.go
+++ b/pkg/leafqueue/window.go
@@ -24,14 +24,17 @@
 	lateFraction = 0.5
 	// quickFactor is the multiple of the typical latency up to which a reply shows that the leaf has
 	// capacity left. quickFraction limits it to a fraction of the target latency, because a typical
-	// latency that was learned during an overload is too long.
-	quickFactor   = 2
-	quickFraction = 0.4
-	// calmTime is how long a sign of congestion at a leaf keeps its window from growing on demand.
-	calmTime = time.Second
-	// restGrowth and restDecay multiply the rest of a leaf after a late reply and after others.
-	restGrowth = 1.5
-	restDecay  = 0.7
+	// latency that was learned during an overload is too long: with a third, a tenth of the answers
+	// missed the target when half of the leafs were slow. The limit is at least quickBestFactor times
+	// the best latency, as the work alone may take longer than that fraction.
+	quickFactor     = 2
+	quickFraction   = 0.25
+	quickBestFactor = 1.5
+	// minExcessLimit is the smallest limit of the requests in flight at a leaf whose window is
+	// exceeded.
+	minExcessLimit = 2
+	// restDecay multiplies the rest of a leaf after a reply that is not late.
+	restDecay = 0.7
 	// maxRest and negligibleRest bound the rest.
 	maxRest        = 2 * time.Second
 	negligibleRest = 5 * time.Millisecond
@@ -47,9 +50,10 @@
 	window   float64
 	inFlight int
 	seenAt   time.Time
-	// reducedAt is when the window was last reduced, and congestedAt the time of the last sign that
-	// the leaf has no capacity left.
-	reducedAt, congestedAt time.Time
+	// reducedAt is when the window was last reduced. congested means that the latest outcome was no
+	// quick reply, so that the leaf may have no capacity left.
+	reducedAt time.Time
+	congested bool
 	// rest is the pause after each reply while the window is at its minimum, and restUntil the end
 	// of the current one.
 	//
@@ -77,49 +81,42 @@
 // hasRoom reports whether another request fits into the window.
 func (l *leafState) hasRoom() bool { return float64(l.inFlight+1) <= l.window }
 
-// mayGrowOnDemand reports whether the window may be exceeded by a request that would otherwise
+// mayExceed reports whether the window may be exceeded by a request that would otherwise
 // wait. At low load requests come in groups by chance, and a window that only grows by one for each
 // window of replies would make some of them wait for nothing. Half of the slots is the limit, since
 // all instances may do so before the first of them sees that the leaf is full.
-func (l *leafState) mayGrowOnDemand(now time.Time) bool {
-	calm := l.congestedAt.IsZero() || now.Sub(l.congestedAt) >= calmTime
-	return calm && l.inFlight < max(2, l.slots/2)
-}
-
-func (l *leafState) begin() { l.inFlight++ }
-
-// growToInFlight raises the window to the number of requests in flight and returns the difference.
-func (l *leafState) growToInFlight() float64 {
-	previous := l.window
-	l.window = max(l.window, float64(l.inFlight))
-	return l.window - previous
+func (l *leafState) mayExceed() bool {
+	return !l.congested && l.inFlight < max(minExcessLimit, l.slots/2)
 }
 
 // reduce multiplies the window, at most once per typical reply time and once for all requests that
-// were in flight at the last reduction: their outcomes have the same cause.
-func (l *leafState) reduce(factor float64, startedAt time.Time, typical time.Duration, now time.Time) {
-	l.congestedAt = now
+// were in flight at the last reduction: their outcomes have the same cause. If the window only has
+// room for one request, it also adds restStep to the rest.
+func (l *leafState) reduce(factor float64, startedAt time.Time, restStep, typical time.Duration, now time.Time) {
+	l.congested = true
 	if !l.reducedAt.IsZero() && (startedAt.Before(l.reducedAt) || now.Sub(l.reducedAt) < typical) {
 		return
 	}
 	l.reducedAt = now
-	if l.window <= minWindow {
-		l.rest = min(max(time.Duration(restGrowth*float64(l.rest)), typical/2), maxRest)
+	if l.window < minWindow+1 {
+		l.rest = min(l.rest+restStep, maxRest)
 	}
 	l.window = max(l.window*factor, minWindow)
 }
 
-// recordReply applies the latency of an answered request.
-func (l *leafState) recordReply(lease *Lease, latency, typical time.Duration, now time.Time) {
-	quick := min(quickFactor*typical, time.Duration(quickFraction*float64(lease.target)))
+// recordReply applies the latency of an answered request. Up to quick it shows capacity that is left.
+func (l *leafState) recordReply(lease *Lease, latency, typical, quick time.Duration, now time.Time) {
 	switch {
 	case latency > lease.lateAfter():
-		l.reduce(lateFactor, lease.startedAt, typical, now)
+		l.reduce(lateFactor, lease.startedAt, latency-lease.lateAfter(), typical, now)
 		return
 	case latency > quick:
-		l.congestedAt = now
-	case lease.windowFull:
-		l.window = min(l.window+1/l.window, l.maxWindow())
+		l.congested = true
+	default:
+		l.congested = false
+		if lease.windowFull {
+			l.window = min(l.window+1/l.window, l.maxWindow())
+		}
 	}
 	l.rest = time.Duration(restDecay * float64(l.rest))
 	if l.rest < negligibleRest {
@@ -159,12 +156,12 @@
 	switch outcome {
 	case replica.Answered:
 		q.recordLatency(latency)
-		l.recordReply(lease, latency, typical, now)
+		l.recordReply(lease, latency, typical, q.quickLimit(lease.target, typical), now)
 	case replica.Refused, replica.ConnLimitReached:
-		l.reduce(rejectFactor, lease.startedAt, typical, now)
+		l.reduce(rejectFactor, lease.startedAt, typical/2, typical, now)
 	case replica.Failed, replica.TimedOut, replica.Abandoned:
 		if latency > lease.lateAfter() {
-			l.reduce(lateFactor, lease.startedAt, typical, now)
+			l.reduce(lateFactor, lease.startedAt, latency-lease.lateAfter(), typical, now)
 		}
 	}
 	if l.rest > 0 {
