--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -55,7 +55,7 @@
 		n.gateway.UseGatherers(agent)
 		burst := peers.BurstBudget{Total: set.Declared.SecondRequestBurst, Zones: set.Declared.Zones, Window: settings.Duration(set.Declared.SecondRequestWindowMs)}
 		agent.EnableBurstSharing(burst, n.table.SetBurstLimits)
-		agent.EnableSingleHandoff(func(int) {})
+		agent.EnableSingleHandoff(n.gateway.SetSingleRunners)
 	}
 	if set.Peers.Feed {
 		n.follower.OnChange(server.NotifySubscribers)
