Terms of planned returns for queries, and a replay of returning callers

Cause: at 1.5 times the capacity a returning caller competes with new ones; by the code before it is held for up to 0.7 of its time after the target.

Change: fanout.Params.Returns. A promised query is admitted unless too many leafs are late, and is otherwise held for MaxHold at most, checked every 5 ms. While a promise is due, a query without one needs the probability that lets a held query start (answers.held_chance, 0.87), and neither is hedged. A returning caller without a promise is not held. With no promise open, nothing changes (TestEmptyBookDoesNotChangeAdmission).

--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -63,8 +63,8 @@
 	if q.startWithTrial {
 		return q.startTrial(now)
 	}
-	requests, refusal := q.admit(now, q.opts.MinAdmitProbability)
-	if refusal != nil && refusal.Overloaded && q.callerRetried && q.hold(now) {
+	requests, refusal := q.admit(now, q.startProbability())
+	if refusal != nil && refusal.Overloaded && q.mayHold() && q.hold(now) {
 		return nil, nil
 	}
 	return requests, refusal
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -135,6 +135,8 @@
 	// that enough shards can only be covered after the target.
 	callerRetried bool
 	targetMissed  bool
+	// terms say how planned returns affect the query.
+	terms ReturnTerms
 	// held means that the query has sent nothing and has been waiting for leaf capacity since
 	// heldSince; it waits until heldUntil at the latest. holdFailed means that no capacity became
 	// free in that time.
@@ -161,6 +163,8 @@
 	Start, Deadline time.Time
 	// CallerRetried means that the caller was refused before and is retrying.
 	CallerRetried bool
+	// Returns are the terms of planned returns.
+	Returns ReturnTerms
 	// Suspect means that leafs have crashed while they had the same request. SuspectService is the
 	// shard of the last of them.
 	Suspect        bool
@@ -171,11 +175,14 @@
 func New(table *replica.Table, route *routing.Route, opts Options, params Params) *Query {
 	q := &Query{
 		table: table, route: route, opts: opts, start: params.Start,
-		deadline: params.Deadline, callerRetried: params.CallerRetried,
+		deadline: params.Deadline, callerRetried: params.CallerRetried, terms: params.Returns,
 		startWithTrial: params.Suspect, suspectService: params.SuspectService,
 		shards:         make([]shard, len(route.Shards)),
 		requiredShards: RequiredShards(len(route.Shards), route.MinShardShare),
 	}
+	if params.Returns.savesCapacity() {
+		q.opts.HedgeTypicalFactor = 0
+	}
 	q.answerBy = q.deadline
 	if q.hasTarget() {
 		q.answerBy = q.start.Add(route.TargetLatency - opts.AnswerMargin)
--- a/pkg/fanout/late.go
+++ b/pkg/fanout/late.go
@@ -12,12 +12,15 @@
 // hold makes the query wait for leaf capacity. It returns false if capacity is not expected to
 // become free.
 func (q *Query) hold(now time.Time) bool {
-	if !q.table.AllowWait(q.route.Name, now) {
+	if !q.terms.Promised && !q.table.AllowWait(q.route.Name, now) {
 		return false
 	}
 	q.held = true
 	q.heldSince = now
 	q.heldUntil = q.answerBy.Add(time.Duration(q.opts.HeldWaitFraction * float64(q.deadline.Sub(q.answerBy))))
+	if limit := now.Add(q.terms.MaxHold); q.terms.MaxHold > 0 && limit.Before(q.heldUntil) {
+		q.heldUntil = limit
+	}
 	return true
 }
 
@@ -60,7 +63,7 @@
 // timeToTarget returns how much time the leafs have to answer by the target. For a held query it
 // returns the time that a new query would have.
 func (q *Query) timeToTarget(now time.Time) time.Duration {
-	if q.held {
+	if q.held && !q.terms.Promised {
 		return q.route.TargetLatency - q.opts.AnswerMargin
 	}
 	return q.answerBy.Sub(now)
--- a/pkg/fanout/progress.go
+++ b/pkg/fanout/progress.go
@@ -183,6 +183,9 @@
 	if q.holdFailed || q.inTrial || q.givenUp {
 		return nil
 	}
+	if q.held && q.terms.Promised {
+		return q.releasePromised(now)
+	}
 	if q.held {
 		return q.release(now)
 	}
@@ -217,7 +220,7 @@
 // NextCheck returns the latest time at which Tick and State must be called again.
 func (q *Query) NextCheck(now time.Time) time.Time {
 	if q.held {
-		return now.Add(heldCheckInterval)
+		return q.nextHeldCheck(now)
 	}
 	if q.inTrial {
 		return q.deadline
--- a/pkg/fanout/replay_test.go
+++ b/pkg/fanout/replay_test.go
@@ -42,6 +42,8 @@
 	hedgeBurst float64
 	// down reports whether leaf (shard, replica) refuses connections; nil means never.
 	down func(shard, replica int, at time.Duration) bool
+	// returns is set for loads with callers that honour a retry hint (returns_replay_test.go).
+	returns *returnsLoad
 }
 
 // replayResult counts the outcomes for callers. A caller that was refused and retried counts
@@ -53,6 +55,7 @@
 	secondRequests int
 	// wastedHold is the total time for which callers that were finally refused had been held.
 	wastedHold time.Duration
+	returns    returnsResult
 }
 
 // scoreShare returns the score as a fraction of the maximum score.
@@ -86,6 +89,8 @@
 	query *Query
 	start time.Duration
 	done  bool
+	// end is called with the final state instead of the usual count; nil: count it.
+	end func(State)
 }
 
 // event is an action at a simulated time; seq orders events of the same time.
@@ -146,28 +151,37 @@
 		r.route.Shards = append(r.route.Shards, fmt.Sprint("s", s))
 	}
 	r.buildLeafs()
+	if load.returns != nil {
+		r.runReturns()
+		return r.result
+	}
 	gap := 1000 / load.queriesPerSecond
 	for at := 0.0; at < float64(load.seconds)*1000; at += gap * r.rng.ExpFloat64() {
 		r.after(ms(at), r.arrive)
 	}
+	r.runEvents()
+	return r.result
+}
+
+// runEvents runs the scheduled events, and those that they schedule, in the order of their times.
+func (r *replay) runEvents() {
 	for len(r.events) > 0 {
 		e := heap.Pop(&r.events).(event)
 		r.now = e.at
 		e.action()
 	}
-	return r.result
 }
 
 func (r *replay) buildLeafs() {
 	ties := rand.New(rand.NewPCG(3, 5)).Float64
-	for range r.load.instances {
+	for i := range r.load.instances {
 		r.tables = append(r.tables, replica.NewTable(replica.Options{
-			Zone: "z0", OtherZoneFactor: 1.6, ConnsPerLeaf: 2, Instances: 1, TieBreaker: ties,
+			Zone: r.load.instanceZone(i), OtherZoneFactor: 1.6, ConnsPerLeaf: 2, Instances: 1, TieBreaker: ties,
 			Budget: replica.BudgetOptions{Ratio: 0.2, Window: 10 * time.Second, Burst: r.load.hedgeBurst},
 		}))
 	}
 	for s := range r.load.shards {
-		for n := range 2 {
+		for n := range r.load.leafsPerShard() {
 			id := fmt.Sprintf("s%d-%d", s, n)
 			r.leafs[id] = &simLeaf{shard: s, replica: n, phase: ms(float64(r.rng.IntN(max(r.load.pauseEveryMs, 1))))}
 			for _, t := range r.tables {
@@ -300,6 +314,10 @@
 	}
 	if state := run.query.State(r.clock()); state != Running {
 		run.done = true
+		if run.end != nil {
+			run.end(state)
+			return
+		}
 		r.count(run, state)
 		return
 	}
