Plan the returns of refused callers of routes with a short timeout

Cause: refusals because of load gave fixed hints, and a returning caller had no claim to be served; on a route with a timeout of a few target latencies it could be held for most of it.

Change: on routes for which overload.returns is in force, refusals of queries because of load take their hint from the book (plannedRetryAfter), returning callers claim due promises (claimReturn), and admissions are recorded with the first request of a query (recordAdmission, sendAdmitted). Hints for unreachable shards are as before. A hold lasts a quarter of the target less the answer margin. A caller that returned and is refused again gets no second promise.

Ruled out: a second promise for each refusal: a caller that retries often would collect the promises of those that wait.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
+	"github.com/indigoyoke/indigoyoke/pkg/returns"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
 
@@ -47,6 +48,8 @@
 	HandoffTimedOut bool
 	// Timeout is how long the caller waits for the answer; zero: the caller stated none.
 	Timeout time.Duration
+	// plan is set by claimReturn and plannedRetryAfter.
+	plan returnPlan
 }
 
 // networkDelayDivisor limits the network delay that is subtracted from a target latency or a
@@ -60,16 +63,6 @@
 	return r.Arrived.Add(-min(r.NetworkDelay, target/networkDelayDivisor))
 }
 
-// logFields adds the fields that identify the request to the fields of a log line.
-func (r *Request) logFields(route string, f oplog.Fields) oplog.Fields {
-	f["request"] = r.ID
-	f["route"] = route
-	if content := r.Key.String(); content != "" {
-		f["content"] = content
-	}
-	return f
-}
-
 // LeafCall is one request to one leaf.
 type LeafCall struct {
 	Leaf replica.Leaf
@@ -184,6 +177,7 @@
 	log            *oplog.Log
 	stats          *Stats
 	callerTimeouts *callerTimeouts
+	returns        *returns.Book
 	// quarantine tracks requests that crash leafs.
 	quarantine *quarantine.Table
 	// batcher is nil if all leafs are called directly; zone is the zone of this instance.
@@ -208,11 +202,12 @@
 	}
 	g := &Gateway{
 		table: table, leafs: leafs, log: log, stats: stats,
-		splitter: routing.NewSplitter(), callerTimeouts: newCallerTimeouts(), quarantine: quarantine.NewTable(), pool: pool, configured: make(chan struct{}),
+		splitter: routing.NewSplitter(), callerTimeouts: newCallerTimeouts(), returns: returns.NewBook(), quarantine: quarantine.NewTable(), pool: pool, configured: make(chan struct{}),
 		evacuations: evacuations{since: make(map[string]time.Time)},
 	}
 	g.opts.Store(&opts)
 	stats.registerQuarantine(g.quarantine)
+	stats.registerReturns(g.returns.Counts())
 	return g, nil
 }
 
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -45,6 +45,8 @@
 	// isTrial reports that the query is suspected of crashing leafs and is first sent to
 	// a single leaf.
 	isTrial bool
+	// admitted reports that the query was admitted: it has sent a request.
+	admitted bool
 	// cancelShardCalls holds a function for each shard that cancels its open calls; nil if
 	// losing calls are not cancelled.
 	cancelShardCalls []context.CancelFunc
@@ -60,8 +62,8 @@
 	returning, _ := g.claimReturn(req, route)
 	query := fanout.New(g.table, route, g.opts.Load().Fanout, fanout.Params{
 		Start: req.latencyStart(route.TargetLatency), Deadline: deadline,
-		CallerRetried: returning,
-		Suspect:       trial, SuspectService: admission.Service,
+		CallerRetried: returning, Returns: g.returnTerms(req, route),
+		Suspect: trial, SuspectService: admission.Service,
 	})
 	sends, refusal := query.Start(time.Now())
 	if refusal != nil {
@@ -87,7 +89,7 @@
 	if trial {
 		g.logTrial(req, route, admission)
 	}
-	run.send(sends)
+	run.sendAdmitted(sends)
 	a := run.wait()
 	run.endTrial()
 	return a
@@ -106,29 +108,18 @@
 
 // refuseGather refuses a query of which too few shards could answer in time.
 func (g *Gateway) refuseGather(req *Request, route *routing.Route, r *fanout.Refusal) Answer {
-	code := errcode.ShardsUnavailable
+	code, retryAfter := errcode.ShardsUnavailable, r.RetryAfter
 	if r.Overloaded {
-		code = errcode.ShardsOverloaded
+		code, retryAfter = errcode.ShardsOverloaded, g.plannedRetryAfter(req, route, r.RetryAfter)
 	}
 	g.stats.refused(code)
 	g.log.Decision("query_refused", req.logFields(route.Name, oplog.Fields{
 		"code": code.String(), "reason": code.Name(),
 		"shards": len(route.Shards), "shards_unreachable": r.Unreachable, "shards_late": r.Late, "shards_busy": r.Busy,
 		"risk": r.ExpectedMisses, "may_miss": r.AllowedMisses, "chance": r.SuccessProbability,
-		"retry_after_ms": r.RetryAfter.Milliseconds(), "config_version": g.version(),
+		"retry_after_ms": retryAfter.Milliseconds(), "config_version": g.version(),
 	}))
-	return Answer{Code: code, RetryAfter: r.RetryAfter}
-}
-
-// refuseHeld refuses a query that waited for capacity without success and sent no request.
-func (g *Gateway) refuseHeld(req *Request, route *routing.Route, held time.Duration) Answer {
-	code := errcode.ShardsOverloaded
-	g.stats.refused(code)
-	g.log.Decision("query_refused", req.logFields(route.Name, oplog.Fields{
-		"code": code.String(), "reason": code.Name(), "held_ms": held.Milliseconds(),
-		"retry_after_ms": fanout.OverloadRetryAfter.Milliseconds(), "config_version": g.version(),
-	}))
-	return Answer{Code: code, RetryAfter: fanout.OverloadRetryAfter}
+	return Answer{Code: code, RetryAfter: retryAfter}
 }
 
 // send starts the given leaf calls.
@@ -202,7 +193,7 @@
 			if graceGiven = !graceGiven && time.Since(due) > processStallThreshold; graceGiven {
 				continue
 			}
-			r.send(r.query.Tick(time.Now()))
+			r.sendAdmitted(r.query.Tick(time.Now()))
 		case <-r.callerCtx.Done():
 			r.cancelAll()
 			r.g.stats.overAttempts(r.query.ShardsOverAttempts())
--- a/pkg/gateway/gatherlog.go
+++ b/pkg/gateway/gatherlog.go
@@ -37,3 +37,14 @@
 		"missing": missing, "after_ms": time.Since(r.req.Arrived).Milliseconds(), "config_version": r.g.version(),
 	}))
 }
+
+// logFields adds the fields that identify the request to the fields of a log line.
+func (r *Request) logFields(route string, f oplog.Fields) oplog.Fields {
+	f["request"] = r.ID
+	f["route"] = route
+	if content := r.Key.String(); content != "" {
+		f["content"] = content
+	}
+	r.plan.addTo(f)
+	return f
+}
--- a/pkg/gateway/returns.go
+++ b/pkg/gateway/returns.go
@@ -3,17 +3,118 @@
 import (
 	"time"
 
+	"github.com/indigoyoke/indigoyoke/pkg/errcode"
+	"github.com/indigoyoke/indigoyoke/pkg/fanout"
+	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+	"github.com/indigoyoke/indigoyoke/pkg/returns"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
 
+// This file connects the refusals because of load to the planned returns of their callers.
+
+// heldTargetDivisor limits the time for which a query on a route with planned returns is held to
+// 1/4 of the target latency: a caller that is refused later has lost time that its retry needs.
+const heldTargetDivisor = 4
+
+// returnPlan is what is known about the return of a request's caller, on routes with planned
+// returns.
+type returnPlan struct {
+	planned bool
+	// returning means that the caller was refused before, claimed that it claimed a promise.
+	returning, claimed bool
+	// keptFree means that the request met capacity that was kept for a returning caller.
+	keptFree bool
+	// promised means that the caller's refusal promises it a place.
+	promised bool
+}
+
+// addTo adds the plan to the fields of a log line.
+func (p returnPlan) addTo(f oplog.Fields) {
+	if p.planned {
+		f["returning"], f["claimed"], f["kept_free"], f["promised"] = p.returning, p.claimed, p.keptFree, p.promised
+	}
+}
+
+// Returns returns the book of the planned returns.
+func (g *Gateway) Returns() *returns.Book { return g.returns }
+
+// returnsPlanned reports whether the returns of the route's refused callers are planned.
+func (g *Gateway) returnsPlanned(route *routing.Route) bool {
+	o := g.opts.Load().Overload
+	return o.Returns.For(route.ShortTimeout(o.ShortTimeoutTargets))
+}
+
 // claimReturn reports whether the caller of a request was refused before and is retrying, and
 // whether capacity was promised to it. It must be called once for each request.
 func (g *Gateway) claimReturn(req *Request, route *routing.Route) (returning, promised bool) {
-	return g.callerTimeouts.isRetry(route.Name, req.Timeout), false
+	returning = g.callerTimeouts.isRetry(route.Name, req.Timeout)
+	if !g.returnsPlanned(route) {
+		return returning, false
+	}
+	now := time.Now()
+	req.plan = returnPlan{planned: true, returning: returning, claimed: returning && g.returns.Claim(route.Name, now)}
+	req.plan.keptFree = !req.plan.claimed && g.returns.Due(route.Name, now)
+	return returning, req.plan.claimed
+}
+
+// returnTerms returns how planned returns affect a query, after claimReturn.
+func (g *Gateway) returnTerms(req *Request, route *routing.Route) fanout.ReturnTerms {
+	if !req.plan.planned {
+		return fanout.ReturnTerms{}
+	}
+	return fanout.ReturnTerms{
+		Planned: true, Promised: req.plan.claimed, KeepFree: req.plan.keptFree,
+		MaxHold: max(route.TargetLatency/heldTargetDivisor-g.opts.Load().AnswerMargin, time.Millisecond),
+	}
+}
+
+// recordAdmission records that a request of the route was admitted. The rate of admissions
+// determines how many returns are promised.
+func (g *Gateway) recordAdmission(route *routing.Route) {
+	if g.returnsPlanned(route) {
+		g.returns.RecordAdmission(route.Name, time.Now())
+	}
 }
 
 // plannedRetryAfter returns the retry hint of a request that is refused because of load: the time of
 // its planned return, or fallback if returns are not planned for the route.
-func (g *Gateway) plannedRetryAfter(_ *Request, _ *routing.Route, fallback time.Duration) time.Duration {
-	return fallback
+//
+// A caller that returned is told that no capacity will come: callers retry once, and a caller that
+// retries more often would otherwise collect the promises of those that wait.
+func (g *Gateway) plannedRetryAfter(req *Request, route *routing.Route, fallback time.Duration) time.Duration {
+	if !g.returnsPlanned(route) {
+		return fallback
+	}
+	if req.plan.claimed {
+		g.stats.brokenPromise()
+	}
+	now := time.Now()
+	remaining := max(g.deadline(req, route).Sub(now), 0)
+	if req.plan.returning {
+		return remaining
+	}
+	hint, promised := g.returns.Promise(route.Name, remaining, now)
+	req.plan.planned, req.plan.promised = true, promised
+	return hint
+}
+
+// sendAdmitted sends the requests of a query, and records its admission with the first of them.
+func (r *gatherRun) sendAdmitted(sends []fanout.Request) {
+	if len(sends) > 0 && !r.admitted {
+		r.admitted = true
+		r.g.recordAdmission(r.route)
+	}
+	r.send(sends)
+}
+
+// refuseHeld refuses a query that waited for capacity without success and sent no request.
+func (g *Gateway) refuseHeld(req *Request, route *routing.Route, held time.Duration) Answer {
+	code := errcode.ShardsOverloaded
+	retryAfter := g.plannedRetryAfter(req, route, fanout.OverloadRetryAfter)
+	g.stats.refused(code)
+	g.log.Decision("query_refused", req.logFields(route.Name, oplog.Fields{
+		"code": code.String(), "reason": code.Name(), "held_ms": held.Milliseconds(),
+		"retry_after_ms": retryAfter.Milliseconds(), "config_version": g.version(),
+	}))
+	return Answer{Code: code, RetryAfter: retryAfter}
 }
--- a/pkg/gateway/stats.go
+++ b/pkg/gateway/stats.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -9,6 +10,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
+	"github.com/indigoyoke/indigoyoke/pkg/returns"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
 
@@ -32,6 +34,20 @@
 	gauge("gateway_requests_cleared", func() float64 { return float64(counts.Cleared.Load()) })
 }
 
+// registerReturns registers the gauges of the planned returns.
+func (s *Stats) registerReturns(counts *returns.Counts) {
+	gauge := func(name string, count *atomic.Int64) {
+		s.set.NewGauge(name, func() float64 { return float64(count.Load()) })
+	}
+	gauge("gateway_returns_promised", &counts.Made)
+	gauge("gateway_returns_kept", &counts.Kept)
+	gauge("gateway_returns_missed", &counts.Missed)
+	gauge("gateway_returns_without_slot", &counts.NoSlot)
+}
+
+// brokenPromise counts a caller that returned when it was promised a place and was refused.
+func (s *Stats) brokenPromise() { s.set.GetOrCreateCounter(`gateway_returns_broken_total`).Inc() }
+
 func (s *Stats) answered(route *routing.Route, code errcode.Code, took time.Duration) {
 	kind := route.Kind.String()
 	s.set.GetOrCreateCounter(fmt.Sprintf(`gateway_answers_total{kind=%q,code=%q}`, kind, code.String())).Inc()
--- a/pkg/gateway/tick.go
+++ b/pkg/gateway/tick.go
@@ -20,7 +20,7 @@
 
 // Tick runs the periodic tasks: it removes lapsed leafs whose grace period is over, suspects and
 // probes silent zones, updates the isolation state, logs evacuated zones without requests and
-// cleans up the quarantine table.
+// cleans up the quarantine table and the planned returns.
 func (g *Gateway) Tick(now time.Time) {
 	for _, id := range g.table.Sweep(now) {
 		g.leafs.RemoveLeaf(id)
@@ -35,6 +35,7 @@
 	g.updateIsolation(now)
 	g.recordEmptiedZones(now)
 	g.quarantine.Sweep(now)
+	g.returns.Sweep(now)
 }
 
 // probeZone checks the health of one leaf of a suspected zone.
