Callers that retry at once claim no promised return

Cause: the book does not identify callers, so a caller that retries after some milliseconds could claim the promise of one that waits.

Change: the reduction of the stated timeout gives the time since the caller's first attempt. No promise is due earlier than 100 ms after a refusal, so a caller whose first attempt was less than 95 ms ago claims none.

Ruled out: a match of each promise with the time at which its caller returns: callers that retry at once are told apart without it, and promises stay anonymous.

Conclusion: a retry at once counts as a new attempt.

--- a/pkg/fanout/returns_replay_test.go
+++ b/pkg/fanout/returns_replay_test.go
@@ -17,14 +17,17 @@
 type returnsLoad struct {
 	// planned: a book at each instance plans the returns. Otherwise hints are fixed and returning
 	// callers are held, as on routes without planned returns.
-	planned       bool
-	overload      time.Duration
-	callerTimeout time.Duration
+	planned  bool
+	overload time.Duration
+	// impatientShare is the fraction (0 to 1) of the callers that return after impatientDelay.
+	impatientShare float64
+	callerTimeout  time.Duration
 }
 
 const (
-	idleShare    = 0.4
-	idleDuration = time.Second
+	impatientDelay = 5 * time.Millisecond
+	idleShare      = 0.4
+	idleDuration   = time.Second
 )
 
 // returnsResult counts the outcomes of the callers that arrived during the overload.
@@ -35,6 +38,8 @@
 	// returnsPer100ms counts the returns by the tenth of a second since the first.
 	returnsPer100ms []int
 	longestHold     time.Duration
+	// impatient and impatientInTime count the callers that return at once.
+	impatient, impatientInTime int
 }
 
 func (r *returnsResult) share(n int) float64 { return float64(n) / float64(r.callers) }
@@ -62,7 +67,8 @@
 			rate *= idleShare
 		}
 		r.after(at, func() {
-			p.submit(&returnsCaller{deadline: p.clock().Add(p.load.callerTimeout), counted: counted})
+			impatient := p.load.impatientShare > 0 && p.rng.Float64() < p.load.impatientShare
+			p.submit(&returnsCaller{deadline: p.clock().Add(p.load.callerTimeout), counted: counted, impatient: impatient})
 		})
 		at += ms(1000 / rate * r.rng.ExpFloat64())
 	}
@@ -73,7 +79,7 @@
 type returnsCaller struct {
 	deadline time.Time
 	// counted: it arrived during the overload.
-	counted             bool
+	counted, impatient  bool
 	returning, promised bool
 }
 
@@ -82,7 +88,8 @@
 	n, now := p.rng.IntN(len(p.tables)), p.clock()
 	params := Params{Start: now, Deadline: c.deadline, CallerRetried: c.returning}
 	if p.load.planned {
-		c.promised = c.returning && p.books[n].Claim(p.route.Name, now)
+		sinceFirst := p.load.callerTimeout - c.deadline.Sub(now)
+		c.promised = c.returning && returns.MayClaim(sinceFirst) && p.books[n].Claim(p.route.Name, now)
 		params.Returns = ReturnTerms{
 			Planned: true, Promised: c.promised, MaxHold: p.route.TargetLatency / 4,
 			KeepFree: p.books[n].Due(p.route.Name, now),
@@ -110,6 +117,9 @@
 	r := p.result
 	if !c.returning {
 		r.callers++
+		if c.impatient {
+			r.impatient++
+		}
 		return
 	}
 	if c.promised {
@@ -135,6 +145,9 @@
 	}
 	if c.counted && s == Complete && took <= p.route.TargetLatency {
 		p.result.inTime++
+		if c.impatient {
+			p.result.impatientInTime++
+		}
 	}
 }
 
@@ -157,6 +170,9 @@
 		hint, _ = p.books[n].Promise(p.route.Name, remaining, p.clock())
 	}
 	c.returning = true
+	if c.impatient {
+		hint = impatientDelay
+	}
 	p.after(min(hint, remaining/3), func() { p.submit(c) })
 }
 
@@ -234,3 +250,15 @@
 		require.LessOrEqual(t, c.planned.share(c.planned.refusedTwice), c.fixed.share(c.fixed.refusedTwice)/3, "overload of %v", c.overload)
 	}
 }
+
+// Guards against callers that gain from retrying at once: they would be served from the promises of
+// those that wait as they were told.
+func TestReplayRetryingAtOnceDoesNotPay(t *testing.T) {
+	load := hardLoad(3*time.Second, true)
+	load.returns.impatientShare = 0.2
+	got := runReplay(load, defaultOptions()).returns
+	impatient := float64(got.impatientInTime) / float64(got.impatient)
+	patient := float64(got.inTime-got.impatientInTime) / float64(got.callers-got.impatient)
+	t.Logf("served in target: %.3f of %d impatient callers, %.3f of the %d others", impatient, got.impatient, patient, got.callers-got.impatient)
+	require.Less(t, impatient, patient-0.1)
+}
--- a/pkg/gateway/callertimeouts.go
+++ b/pkg/gateway/callertimeouts.go
@@ -46,8 +46,14 @@
 // isRetry records the timeout of one caller, and reports whether it is shorter than the usual
 // one of the route. A zero timeout means that the caller stated none.
 func (t *callerTimeouts) isRetry(route string, timeout time.Duration) bool {
+	return t.reduction(route, timeout) >= timeoutResolution
+}
+
+// reduction records the timeout of one caller, and returns by how much it is shorter than the usual
+// one of the route: the time since the caller's first attempt. It is 0 for a first attempt.
+func (t *callerTimeouts) reduction(route string, timeout time.Duration) time.Duration {
 	if timeout <= 0 {
-		return false
+		return 0
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -57,7 +63,7 @@
 		t.routes[route] = r
 	}
 	r.add(timeout)
-	return timeout <= r.usualTimeout()-timeoutResolution
+	return max(r.usualTimeout()-timeout, 0)
 }
 
 // add records one timeout in place of the oldest one.
--- a/pkg/gateway/returns.go
+++ b/pkg/gateway/returns.go
@@ -47,12 +47,13 @@
 // claimReturn reports whether the caller of a request was refused before and is retrying, and
 // whether capacity was promised to it. It must be called once for each request.
 func (g *Gateway) claimReturn(req *Request, route *routing.Route) (returning, promised bool) {
-	returning = g.callerTimeouts.isRetry(route.Name, req.Timeout)
+	reduction := g.callerTimeouts.reduction(route.Name, req.Timeout)
+	returning = reduction >= timeoutResolution
 	if !g.returnsPlanned(route) {
 		return returning, false
 	}
 	now := time.Now()
-	req.plan = returnPlan{planned: true, returning: returning, claimed: returning && g.returns.Claim(route.Name, now)}
+	req.plan = returnPlan{planned: true, returning: returning, claimed: returns.MayClaim(reduction) && g.returns.Claim(route.Name, now)}
 	req.plan.keptFree = !req.plan.claimed && g.returns.Due(route.Name, now)
 	return returning, req.plan.claimed
 }
--- a/pkg/returns/book.go
+++ b/pkg/returns/book.go
@@ -21,6 +21,9 @@
 	// minDelay is the earliest return: about the time in which a full leaf queue (12 requests of
 	// 15 ms on 2 slots) drains.
 	minDelay = 100 * time.Millisecond
+	// claimTolerance is by how much the time since a caller's first attempt may seem shorter than it
+	// was: callers state their timeout in whole milliseconds.
+	claimTolerance = 5 * time.Millisecond
 	// remainingDivisor: a return must be due within 1/3 of the caller's remaining time, because
 	// callers wait no longer than that.
 	remainingDivisor = 3
@@ -92,6 +95,10 @@
 	return due.Sub(now), true
 }
 
+// MayClaim reports whether a caller whose first attempt was the given time ago may claim a promise.
+// A caller that retries at once cannot have waited for its own, and would claim that of another.
+func MayClaim(sinceFirst time.Duration) bool { return sinceFirst >= minDelay-claimTolerance }
+
 // Claim uses up the earliest promise of the route that is due, and reports whether there was one.
 func (b *Book) Claim(route string, now time.Time) bool {
 	b.mu.Lock()
--- a/pkg/returns/book_test.go
+++ b/pkg/returns/book_test.go
@@ -93,6 +93,14 @@
 	require.False(t, NewBook().Due("unknown", epoch))
 }
 
+// Guards against a caller that retries at once and uses up the promise of one that waits.
+func TestCallerThatRetriesAtOnceMayNotClaim(t *testing.T) {
+	require.False(t, MayClaim(0))
+	require.False(t, MayClaim(50*time.Millisecond))
+	require.True(t, MayClaim(minDelay-time.Millisecond), "timeouts are stated in whole milliseconds")
+	require.True(t, MayClaim(minDelay))
+}
+
 // Guards against places that stay reserved for callers that do not return.
 func TestUnclaimedPromisesExpire(t *testing.T) {
 	b := admitting(50)
