--- a/pkg/gateway/singlequeued.go
+++ b/pkg/gateway/singlequeued.go
@@ -135,6 +135,7 @@
 		r.giveUp(&attempt.Lease)
 		return r.g.refuse(r.req, r.route, errcode.ShardsUnavailable, r.g.opts.Load().RetryAfter), true
 	}
+	r.g.recordAdmission(r.route)
 	return Answer{}, false
 }
 
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -14,6 +14,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
+	"github.com/indigoyoke/indigoyoke/pkg/returns"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
 	"github.com/indigoyoke/indigoyoke/pkg/settings"
 )
@@ -72,6 +73,8 @@
 	Members       []MemberState       `json:"members"`
 	// Quarantine lists the requests that are suspected or known to crash leafs.
 	Quarantine []quarantine.State `json:"quarantine"`
+	// Returns lists the planned returns of refused callers by route.
+	Returns []returns.State `json:"returns"`
 	// EvacuatedZones lists the availability zones whose leafs must not get requests.
 	EvacuatedZones []string `json:"evacuated"`
 	// SingleQueues lists the queues of single requests.
@@ -104,6 +107,7 @@
 		EvacuatedZones: n.table.EvacuatedZones(),
 		SingleQueues:   n.gateway.SingleQueues(time.Now()),
 		Quarantine:     n.gateway.Quarantine().Dump(time.Now()),
+		Returns:        n.gateway.Returns().Dump(time.Now()),
 		Store:          n.storeState(),
 	}
 	if c := n.gateway.Config(); c != nil {
