Admit less urgent queries by rank while an urgent route is under pressure

Cause: no decision took a route's rank into account. An overload that a query with a target of 150 ms tolerates is fatal to one with a target of 50 ms on the same leafs (docs/design/hard-load.md).

Change: pkg/priority holds an admitted share per rank and group of gather routes that share services, with the AIMD rule of the page. gather asks it before a query is placed, reports each outcome, and sends no hedged requests for a reduced rank. The log, the metrics and the state dump show the shares.

Ruled out: credit per rank instead of per route; two routes of the same rank that arrive in turn would be admitted and refused in turn, always the same.

--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -153,6 +153,8 @@
 	requiredShards int
 	coveredShards  int
 	mayHaveRun     bool
+	// coveredAt is the time at which enough shards were covered; zero: not yet.
+	coveredAt time.Time
 }
 
 // Params are the timing of a query and what is known about its caller and content.
@@ -161,6 +163,8 @@
 	Start, Deadline time.Time
 	// CallerRetried means that the caller was refused before and is retrying.
 	CallerRetried bool
+	// NoHedging means that no hedged requests are sent; retries after a failure are.
+	NoHedging bool
 	// Suspect means that leafs have crashed while they had the same request. SuspectService is the
 	// shard of the last of them.
 	Suspect        bool
@@ -176,6 +180,9 @@
 		shards:         make([]shard, len(route.Shards)),
 		requiredShards: RequiredShards(len(route.Shards), route.MinShardShare),
 	}
+	if params.NoHedging {
+		q.opts.HedgeTypicalFactor = 0
+	}
 	q.answerBy = q.deadline
 	if q.hasTarget() {
 		q.answerBy = q.start.Add(route.TargetLatency - opts.AnswerMargin)
--- a/pkg/fanout/late.go
+++ b/pkg/fanout/late.go
@@ -57,6 +57,9 @@
 	return now.Sub(q.heldSince)
 }
 
+// WasHeld reports whether the query is or was waiting for capacity.
+func (q *Query) WasHeld() bool { return !q.heldSince.IsZero() }
+
 // timeToTarget returns how much time the leafs have to answer by the target. For a held query it
 // returns the time that a new query would have.
 func (q *Query) timeToTarget(now time.Time) time.Duration {
--- a/pkg/fanout/progress.go
+++ b/pkg/fanout/progress.go
@@ -80,6 +80,9 @@
 		}
 		s.covered = true
 		q.coveredShards++
+		if q.coveredShards == q.requiredShards {
+			q.coveredAt = now
+		}
 	}
 	if q.inTrial {
 		return q.handleTrialReply(i, outcome, now)
--- a/pkg/fanout/state.go
+++ b/pkg/fanout/state.go
@@ -60,6 +60,15 @@
 // CoveredShards returns the number of shards that are covered.
 func (q *Query) CoveredShards() int { return q.coveredShards }
 
+// TimeToCover returns the time from the start of the query until enough shards were covered, and
+// whether they were.
+func (q *Query) TimeToCover() (time.Duration, bool) {
+	if q.coveredAt.IsZero() {
+		return 0, false
+	}
+	return q.coveredAt.Sub(q.start), true
+}
+
 // RequiredShards returns the number of shards that must be covered.
 func (q *Query) RequiredShards() int { return q.requiredShards }
 
--- a/pkg/gateway/config.go
+++ b/pkg/gateway/config.go
@@ -8,6 +8,12 @@
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
 
+// SetOptions replaces the options for requests that arrive from now on.
+func (g *Gateway) SetOptions(opts Options) {
+	g.opts.Store(&opts)
+	g.priorities.SetOptions(priorityOptions(opts))
+}
+
 // SetConfig applies a configuration unless its version is not newer than the current one, and
 // reports whether it did. Requests in flight keep the version that they started with.
 func (g *Gateway) SetConfig(c *routing.Config) bool {
@@ -27,6 +33,7 @@
 	g.table.SetAllowedRegions(routeRegions(c))
 	g.table.SetShards(shardOnlyServices(c))
 	g.splitter.Reset()
+	g.setPriorityRoutes(c)
 	if g.config.Swap(c) == nil {
 		close(g.configured)
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/fanout"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+	"github.com/indigoyoke/indigoyoke/pkg/priority"
 	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
@@ -186,6 +187,7 @@
 	callerTimeouts *callerTimeouts
 	// quarantine tracks requests that crash leafs.
 	quarantine *quarantine.Table
+	priorities *priority.Controller
 	// batcher is nil if all leafs are called directly; zone is the zone of this instance.
 	batcher Batcher
 	zone    string
@@ -208,7 +210,7 @@
 	}
 	g := &Gateway{
 		table: table, leafs: leafs, log: log, stats: stats,
-		splitter: routing.NewSplitter(), callerTimeouts: newCallerTimeouts(), quarantine: quarantine.NewTable(), pool: pool, configured: make(chan struct{}),
+		splitter: routing.NewSplitter(), callerTimeouts: newCallerTimeouts(), quarantine: quarantine.NewTable(), priorities: priority.New(priorityOptions(opts)), pool: pool, configured: make(chan struct{}),
 		evacuations: evacuations{since: make(map[string]time.Time)},
 	}
 	g.opts.Store(&opts)
@@ -220,9 +222,6 @@
 // instance. It must be called before requests are served.
 func (g *Gateway) UseBatcher(batcher Batcher, zone string) { g.batcher, g.zone = batcher, zone }
 
-// SetOptions replaces the options for requests that arrive from now on.
-func (g *Gateway) SetOptions(opts Options) { g.opts.Store(&opts) }
-
 // Close releases the worker pool.
 func (g *Gateway) Close() { g.pool.Release() }
 
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -57,17 +57,26 @@
 		return g.refuseQuarantined(req, route, admission.RetryAfter)
 	}
 	trial := admission.Verdict == quarantine.Suspect
-	returning, _ := g.claimReturn(req, route)
+	returning, promised := g.claimReturn(req, route)
+	if refused := g.admitByRank(req, route, returning, promised); refused != nil {
+		if trial {
+			g.recordTrial(req, quarantine.Unsent)
+		}
+		return *refused
+	}
 	query := fanout.New(g.table, route, g.opts.Load().Fanout, fanout.Params{
 		Start: req.latencyStart(route.TargetLatency), Deadline: deadline,
-		CallerRetried: returning,
-		Suspect:       trial, SuspectService: admission.Service,
+		CallerRetried: returning, NoHedging: g.priorities.Reduced(route.Name),
+		Suspect: trial, SuspectService: admission.Service,
 	})
 	sends, refusal := query.Start(time.Now())
 	if refusal != nil {
 		if trial {
 			g.recordTrial(req, quarantine.Unsent)
 		}
+		if refusal.Overloaded {
+			g.recordOverload(route)
+		}
 		a := g.refuseGather(req, route, refusal)
 		a.Shards = fillMissingReasons(query, make([]ShardAnswer, len(route.Shards)))
 		return a
@@ -82,6 +91,7 @@
 		run.cancelShardCalls = make([]context.CancelFunc, len(route.Shards))
 	}
 	if query.HeldFor(time.Now()) > 0 {
+		g.recordOverload(route)
 		g.log.Decision("query_held", req.logFields(route.Name, oplog.Fields{"config_version": g.version()}))
 	}
 	if trial {
@@ -90,6 +100,7 @@
 	run.send(sends)
 	a := run.wait()
 	run.endTrial()
+	g.recordOutcome(route, query, a.Code)
 	return a
 }
 
@@ -153,27 +164,6 @@
 	}
 }
 
-// leafCall returns the leaf call for a send.
-func (r *gatherRun) leafCall(s fanout.Request) LeafCall {
-	return LeafCall{Leaf: s.Call.Leaf, Service: r.route.Shards[s.Shard], Request: r.req, Deadline: s.Deadline}
-}
-
-// callContext returns the context for a new call of a shard.
-func (r *gatherRun) callContext(shard int) context.Context {
-	if r.cancelShardCalls == nil {
-		return r.callCtx
-	}
-	ctx, cancel := context.WithCancel(r.callCtx)
-	earlier := r.cancelShardCalls[shard]
-	r.cancelShardCalls[shard] = func() {
-		cancel()
-		if earlier != nil {
-			earlier()
-		}
-	}
-	return ctx
-}
-
 // wait processes replies and timers until the answer can be given.
 func (r *gatherRun) wait() Answer {
 	timer := time.NewTimer(0)
--- a/pkg/gateway/leafcall.go
+++ b/pkg/gateway/leafcall.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/indigoyoke/indigoyoke/pkg/fanout"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
@@ -79,3 +80,24 @@
 	}
 	return err.Error()
 }
+
+// leafCall returns the leaf call for a send.
+func (r *gatherRun) leafCall(s fanout.Request) LeafCall {
+	return LeafCall{Leaf: s.Call.Leaf, Service: r.route.Shards[s.Shard], Request: r.req, Deadline: s.Deadline}
+}
+
+// callContext returns the context for a new call of a shard.
+func (r *gatherRun) callContext(shard int) context.Context {
+	if r.cancelShardCalls == nil {
+		return r.callCtx
+	}
+	ctx, cancel := context.WithCancel(r.callCtx)
+	earlier := r.cancelShardCalls[shard]
+	r.cancelShardCalls[shard] = func() {
+		cancel()
+		if earlier != nil {
+			earlier()
+		}
+	}
+	return ctx
+}
--- a/pkg/gateway/stats.go
+++ b/pkg/gateway/stats.go
@@ -2,11 +2,13 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
+	"github.com/indigoyoke/indigoyoke/pkg/priority"
 	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
@@ -42,6 +44,36 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`gateway_refusals_total{code=%q}`, code.String())).Inc()
 }
 
+// maxRankLabel is the highest rank with a label of its own; higher ones share a label.
+const maxRankLabel = 7
+
+// rankLabel returns the label value of a rank.
+func rankLabel(rank int) string {
+	if rank > maxRankLabel {
+		return fmt.Sprintf("%d+", maxRankLabel+1)
+	}
+	return strconv.Itoa(rank)
+}
+
+// admittedByRank counts an admission decision on a query of a controlled group.
+func (s *Stats) admittedByRank(rank int, admitted bool) {
+	decision := "refused"
+	if admitted {
+		decision = "admitted"
+	}
+	s.set.GetOrCreateCounter(fmt.Sprintf(`gateway_rank_decisions_total{rank=%q,decision=%q}`, rankLabel(rank), decision)).Inc()
+}
+
+// registerShares registers a gauge of the smallest admitted share for each controlled rank.
+func (s *Stats) registerShares(c *priority.Controller) {
+	for _, rank := range c.Ranks() {
+		label := rankLabel(rank)
+		s.set.GetOrCreateGauge(fmt.Sprintf(`gateway_rank_admitted_share{rank=%q}`, label), func() float64 {
+			return c.MinShare(func(r int) bool { return rankLabel(r) == label })
+		})
+	}
+}
+
 func (s *Stats) partialAnswer() {
 	s.set.GetOrCreateCounter(`gateway_partial_answers_total`).Inc()
 }
--- a/pkg/gateway/tick.go
+++ b/pkg/gateway/tick.go
@@ -19,8 +19,8 @@
 const isolationDelay = 250 * time.Millisecond
 
 // Tick runs the periodic tasks: it removes lapsed leafs whose grace period is over, suspects and
-// probes silent zones, updates the isolation state, logs evacuated zones without requests and
-// cleans up the quarantine table.
+// probes silent zones, updates the isolation state, logs evacuated zones without requests,
+// cleans up the quarantine table and updates the admitted shares.
 func (g *Gateway) Tick(now time.Time) {
 	for _, id := range g.table.Sweep(now) {
 		g.leafs.RemoveLeaf(id)
@@ -35,6 +35,7 @@
 	g.updateIsolation(now)
 	g.recordEmptiedZones(now)
 	g.quarantine.Sweep(now)
+	g.logShareChanges(now)
 }
 
 // probeZone checks the health of one leaf of a suspected zone.
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -11,6 +11,7 @@
 
 	"github.com/indigoyoke/indigoyoke/pkg/front"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+	"github.com/indigoyoke/indigoyoke/pkg/priority"
 	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/service"
@@ -71,6 +72,8 @@
 	Members       []MemberState       `json:"members"`
 	// Quarantine lists the requests that are suspected or known to crash leafs.
 	Quarantine []quarantine.State `json:"quarantine"`
+	// Priorities lists the groups of routes whose less urgent queries may be refused.
+	Priorities []priority.GroupState `json:"priorities"`
 	// EvacuatedZones lists the availability zones whose leafs must not get requests.
 	EvacuatedZones []string `json:"evacuated"`
 	// Peers lists the names of the connected peers.
@@ -100,6 +103,7 @@
 		OpenConns: n.pool.Stats.OpenConns.Load(), Leafs: n.table.Dump(time.Now()), Members: n.peering.state(), Peers: n.peering.connected(),
 		EvacuatedZones: n.table.EvacuatedZones(),
 		Quarantine:     n.gateway.Quarantine().Dump(time.Now()),
+		Priorities:     n.gateway.Priorities().Dump(time.Now()),
 		Store:          n.storeState(),
 	}
 	if c := n.gateway.Config(); c != nil {
