--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -155,6 +155,9 @@
 	requiredShards int
 	coveredShards  int
 	mayHaveRun     bool
+	// coveredAt is the time at which measuredShards were covered; zero: not yet.
+	measuredShards int
+	coveredAt      time.Time
 }
 
 // Params are the timing of a query and what is known about its caller and content.
@@ -165,6 +168,11 @@
 	CallerRetried bool
 	// Returns are the terms of planned returns.
 	Returns ReturnTerms
+	// NoHedging means that no hedged requests are sent; retries after a failure are.
+	NoHedging bool
+	// MeasuredShare is the fraction of the shards (0 to 1) whose time to cover is measured; it is
+	// limited to the minimum share of the route. Zero means that minimum.
+	MeasuredShare float64
 	// Suspect means that leafs have crashed while they had the same request. SuspectService is the
 	// shard of the last of them.
 	Suspect        bool
@@ -180,7 +188,11 @@
 		shards:         make([]shard, len(route.Shards)),
 		requiredShards: RequiredShards(len(route.Shards), route.MinShardShare),
 	}
-	if params.Returns.savesCapacity() {
+	q.measuredShards = q.requiredShards
+	if params.MeasuredShare > 0 {
+		q.measuredShards = min(q.requiredShards, RequiredShards(len(route.Shards), params.MeasuredShare))
+	}
+	if params.NoHedging || params.Returns.savesCapacity() {
 		q.opts.HedgeTypicalFactor = 0
 	}
 	q.answerBy = q.deadline
--- a/pkg/gateway/singlerefusal.go
+++ b/pkg/gateway/singlerefusal.go
@@ -40,9 +40,6 @@
 	})
 }
 
-// maxRankLabel bounds the label values of ranks; less urgent ranks are counted with it.
-const maxRankLabel = 9
-
 // registerSingleQueues registers the gauges of the queues of single requests.
 func (s *Stats) registerSingleQueues(q *singleQueues) {
 	s.set.NewGauge("gateway_single_queue_waiting", func() float64 { return float64(q.waiting()) })
@@ -51,8 +48,7 @@
 // singleDecision counts a decision about an attempt of a single request, and records the time for
 // which it waited.
 func (s *Stats) singleDecision(rank int, result string, waited bool, wait time.Duration) {
-	label := min(max(rank, 0), maxRankLabel)
-	s.set.GetOrCreateCounter(fmt.Sprintf(`gateway_single_queue_total{rank="%d",result=%q}`, label, result)).Inc()
+	s.set.GetOrCreateCounter(fmt.Sprintf(`gateway_single_queue_total{rank=%q,result=%q}`, rankLabel(rank), result)).Inc()
 	if waited {
 		s.set.GetOrCreateHistogram(`gateway_single_queue_wait_seconds`).Update(wait.Seconds())
 	}
--- a/pkg/gateway/tick.go
+++ b/pkg/gateway/tick.go
@@ -19,8 +19,9 @@
 const isolationDelay = 250 * time.Millisecond
 
 // Tick runs the periodic tasks: it removes lapsed leafs whose grace period is over, suspects and
-// probes silent zones, updates the isolation state, logs evacuated zones without requests and
-// cleans up the quarantine table, the queues of single requests and the planned returns.
+// probes silent zones, updates the isolation state, logs evacuated zones without requests, cleans up
+// the quarantine table, the queues of single requests and the planned returns, and updates the
+// admitted shares.
 func (g *Gateway) Tick(now time.Time) {
 	for _, id := range g.table.Sweep(now) {
 		g.leafs.RemoveLeaf(id)
@@ -37,6 +38,7 @@
 	g.quarantine.Sweep(now)
 	g.singles.sweep(g.config.Load(), now)
 	g.returns.Sweep(now)
+	g.logShareChanges(now)
 }
 
 // probeZone checks the health of one leaf of a suspected zone.
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -12,6 +12,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/front"
 	"github.com/indigoyoke/indigoyoke/pkg/leafqueue"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+	"github.com/indigoyoke/indigoyoke/pkg/priority"
 	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/returns"
@@ -75,6 +76,8 @@
 	Quarantine []quarantine.State `json:"quarantine"`
 	// Returns lists the planned returns of refused callers by route.
 	Returns []returns.State `json:"returns"`
+	// Priorities lists the groups of routes whose less urgent queries may be refused.
+	Priorities []priority.GroupState `json:"priorities"`
 	// EvacuatedZones lists the availability zones whose leafs must not get requests.
 	EvacuatedZones []string `json:"evacuated"`
 	// SingleQueues lists the queues of single requests.
@@ -108,6 +111,7 @@
 		SingleQueues:   n.gateway.SingleQueues(time.Now()),
 		Quarantine:     n.gateway.Quarantine().Dump(time.Now()),
 		Returns:        n.gateway.Returns().Dump(time.Now()),
+		Priorities:     n.gateway.Priorities().Dump(time.Now()),
 		Store:          n.storeState(),
 	}
 	if c := n.gateway.Config(); c != nil {
--- a/pkg/oplog/levels.go
+++ b/pkg/oplog/levels.go
@@ -57,6 +57,7 @@
 	"request_ended_elsewhere":   logrus.WarnLevel,
 	"request_failed":            logrus.WarnLevel,
 	"request_suspect":           logrus.WarnLevel,
+	"route_rank_invalid":        logrus.WarnLevel,
 	"query_given_up":            logrus.WarnLevel,
 	"query_failed":              logrus.WarnLevel,
 	"query_ended_elsewhere":     logrus.WarnLevel,
