Returning callers take a tenth of the admissions, and return soon if the target can be met

Change: a tenth is reserved, in the book and under priority admission. A caller whose answer can still be in time after the queue has drained is told that time instead of a later slot.

Refused twice stays: what does not fit is refused, whoever it is.

--- a/pkg/gateway/returns.go
+++ b/pkg/gateway/returns.go
@@ -5,6 +5,7 @@
 
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/fanout"
+	"github.com/indigoyoke/indigoyoke/pkg/leafqueue"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 	"github.com/indigoyoke/indigoyoke/pkg/returns"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
@@ -20,8 +21,9 @@
 // returns.
 type returnPlan struct {
 	planned bool
-	// returning means that the caller was refused before, claimed that it claimed a promise.
-	returning, claimed bool
+	// returning means that the caller was refused before, waited that it did not retry at once, and
+	// claimed that it claimed a promise.
+	returning, waited, claimed bool
 	// keptFree means that the request met capacity that was kept for a returning caller.
 	keptFree bool
 	// promised means that the caller's refusal promises it a place.
@@ -53,7 +55,8 @@
 		return returning, false
 	}
 	now := time.Now()
-	req.plan = returnPlan{planned: true, returning: returning, claimed: returns.MayClaim(reduction) && g.returns.Claim(route.Name, now)}
+	req.plan = returnPlan{planned: true, returning: returning, waited: returns.MayClaim(reduction)}
+	req.plan.claimed = req.plan.waited && g.returns.Claim(route.Name, now)
 	req.plan.keptFree = !req.plan.claimed && g.returns.Due(route.Name, now)
 	return returning, req.plan.claimed
 }
@@ -78,7 +81,8 @@
 }
 
 // plannedRetryAfter returns the retry hint of a request that is refused because of load: the time of
-// its planned return, or fallback if returns are not planned for the route.
+// its planned return, or fallback if returns are not planned for the route or if an answer after a
+// return at that time is likely to meet the target latency.
 //
 // A caller that returned is told that no capacity will come: callers retry once, and a caller that
 // retries more often would otherwise collect the promises of those that wait.
@@ -94,11 +98,22 @@
 	if req.plan.returning {
 		return remaining
 	}
+	if g.meetsTargetAfter(req, route, fallback, now) {
+		return fallback
+	}
 	hint, promised := g.returns.Promise(route.Name, remaining, now)
 	req.plan.planned, req.plan.promised = true, promised
 	return hint
 }
 
+// meetsTargetAfter reports whether a caller that returns after the given delay can be answered within
+// its target latency. A quarter of the target is left for its wait, as at its first arrival.
+func (g *Gateway) meetsTargetAfter(req *Request, route *routing.Route, delay time.Duration, now time.Time) bool {
+	target := route.TargetLatency
+	latest := req.latencyStart(target).Add(target - leafqueue.MaxWait(target))
+	return !now.Add(delay + g.table.TypicalLatency(route.Name)).After(latest)
+}
+
 // sendAdmitted sends the requests of a query, and records its admission with the first of them.
 func (r *gatherRun) sendAdmitted(sends []fanout.Request) {
 	if len(sends) > 0 && !r.admitted {
--- a/pkg/gateway/singlequeued.go
+++ b/pkg/gateway/singlequeued.go
@@ -48,12 +48,11 @@
 }
 
 // isPreferredReturn reports whether the caller returns after a refusal and is preferred to new
-// callers. Where returns are planned, only those with a promise are.
+// callers. Where returns are planned, a caller that retries at once is not.
 func (g *Gateway) isPreferredReturn(req *Request, route *routing.Route) bool {
 	returning, promised := g.claimReturn(req, route)
-	o := &g.opts.Load().Overload
-	if o.Returns.For(route.ShortTimeout(o.ShortTimeoutTargets)) {
-		return promised
+	if req.plan.planned {
+		return promised || returning && req.plan.waited
 	}
 	return returning
 }
--- a/pkg/leafqueue/leafqueue.go
+++ b/pkg/leafqueue/leafqueue.go
@@ -22,8 +22,8 @@
 
 // maxWaitFraction is the fraction of the target latency for which a request may wait. The limit on
 // the time until a refusal is a quarter; the rest of it is for a call that a leaf rejects at the end
-// of the wait, and for the way of the refusal to the caller.
-const maxWaitFraction = 0.24
+// of the wait, and for the way of the request and of the refusal between caller and instances.
+const maxWaitFraction = 0.22
 
 // MaxWait returns how long a request with a target latency may wait.
 func MaxWait(target time.Duration) time.Duration {
--- a/pkg/priority/group.go
+++ b/pkg/priority/group.go
@@ -43,10 +43,10 @@
 // admitted first as to be refused first.
 const initialCredit = 0.5
 
-// returnFraction is the part of the admissions that is reserved for returning callers. Without this
-// limit they would take all of a share of half or less: each new caller would be refused once and
-// answered after its target.
-const returnFraction = 0.5
+// returnFraction is the part of the admissions that is reserved for returning callers. In a lasting
+// overload each of them takes the place of a new caller that could be answered within the target,
+// while the returning one cannot: with a half, as many were answered, but a third fewer in time.
+const returnFraction = 0.1
 
 // maxRefusedNew limits the number of refused callers that are expected back. Callers that do not return
 // must not be expected for long.
@@ -127,8 +127,8 @@
 }
 
 // takeCredit accrues the credit of one arrival, and reports whether the query of the caller may use
-// it. A returning caller is admitted before new ones as long as returnCredit lasts, and like a new
-// one otherwise.
+// it. A returning caller is admitted before new ones as long as returnCredit lasts, and refused
+// otherwise.
 func (m *member) takeCredit(caller Caller) bool {
 	if caller != NewCaller && m.refusedNew > 0 {
 		m.refusedNew--
@@ -140,7 +140,7 @@
 	if overdraft := overdrafts[caller]; m.returnCredit >= 1-overdraft && m.credit >= 1-overdraft {
 		needed = 1 - overdraft
 	}
-	if m.credit < needed {
+	if m.credit < needed || caller != NewCaller && needed == 1 {
 		return false
 	}
 	m.credit--
