Send crash reports at once instead of with the next tick

Cause: an instance put the crashes and verdicts of a request in a queue that was emptied by a timer: by the membership's tick (20 ms in the first two seconds of a process, 100 ms after that), in pkg/relay by a poll of 20 ms, which an unreachable peer delayed by up to 1 s more. A caller retries sooner. Each instance in turn then sent the request without knowing what the one before had seen. Trace of a failing run of TestRequestThatEndsLeafsIsHeldBack/all (seconds of the log time; attempts 1 to 5 of the test):

47.455 n0 leaf_ended x3, request_suspect attempt 1, 3 leafs 47.463 n1 leaf_ended x3, request_suspect attempt 2, n1 knew nothing 47.467 n2 request_suspect peer=n0 leafs_ended=3 47.469 n2 request_trial, request_quarantined attempt 3 47.476 n0 request_trial, request_quarantined attempt 4, without n2's verdict 47.492 n1 request_trial, leaf_ended attempt 5, without either 47.492 n1 request_quarantined peer=n0 leafs_ended=4

9 leafs, 4 retries after the third crash. /hold in pkg/demo is the same: 7 crashes, the trials of three entry instances 7 and 9 ms apart (06:03.090, .095, .102), each before the report of the one before was polled.

Change: the table signals a change, and pkg/peers and pkg/relay send it at once, from goroutines of their own, and again 100 ms later. At most ten messages in a burst and ten per second follow from a token bucket instead of the timer. The relay no longer waits for all peers before it sends the next change, and two queries that dial the same peer share a connection.

Ruled out: unrecognized crashes (all were logged as leaf_ended, none as broken), lost or evicted records, and duplicated crash IDs. The documented policy does not allow the observed case: changes are to be sent "at once".

The new tests of pkg/peers and pkg/relay fail without the signal.

A trial in progress is still not announced: two instances that are asked within the duration of a trial both try the request.

--- a/pkg/peers/gossip.go
+++ b/pkg/peers/gossip.go
@@ -93,17 +93,30 @@
 	}
 }
 
-// broadcastQuarantine sends the quarantine changes since the last call to all members. A caller may
-// retry at any instance at once, and each instance without the report would let the request crash
-// more leafs.
-func (p *Peers) broadcastQuarantine(now time.Time) {
-	if p.quarantine == nil {
-		return
-	}
-	reports := p.quarantine.PendingReports(maxReportsPerMessage, now)
-	if len(reports) == 0 {
-		return
+// shareQuarantine sends changes of the quarantine table to all members until Close is called: at
+// once, and a second time on resend, because datagrams are lost.
+//
+// The changes once waited for the next tick of the membership, up to 100 ms. Callers retry sooner
+// than that: each instance in turn sent the request to leafs of all its shards or tried it at one,
+// and the log showed request_trial at one instance milliseconds after request_quarantined at
+// another.
+func (p *Peers) shareQuarantine(resend <-chan time.Time) {
+	pacer := quarantine.NewReportPacer(p.quarantine)
+	for {
+		select {
+		case <-p.quarantine.Changed():
+		case <-resend:
+		case <-p.done:
+			return
+		}
+		if reports := pacer.Due(maxReportsPerMessage, time.Now()); len(reports) > 0 {
+			p.broadcastQuarantine(reports)
+		}
 	}
+}
+
+// broadcastQuarantine sends reports to all members.
+func (p *Peers) broadcastQuarantine(reports []quarantine.Report) {
 	p.mu.Lock()
 	out := p.members.GossipToAll()
 	p.mu.Unlock()
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -127,6 +127,11 @@
 // Run maintains the membership and the connections until Close is called.
 func (p *Peers) Run() {
 	go p.receive()
+	if p.quarantine != nil {
+		resend := time.NewTicker(quarantine.ResendInterval)
+		defer resend.Stop()
+		go p.shareQuarantine(resend.C)
+	}
 	started := time.Now()
 	ticker := time.NewTicker(startupTickInterval)
 	defer ticker.Stop()
@@ -135,7 +140,6 @@
 		select {
 		case now := <-ticker.C:
 			p.sendAll(p.tickMembership(now))
-			p.broadcastQuarantine(now)
 			p.updateConnections(now)
 			if startingUp && now.Sub(started) > startupPeriod {
 				startingUp = false
--- a/pkg/peers/quarantine_test.go
+++ b/pkg/peers/quarantine_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"net"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/indigoyoke/indigoyoke/pkg/gateway"
+	"github.com/indigoyoke/indigoyoke/pkg/membership"
 	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 )
@@ -42,3 +44,33 @@
 	require.True(t, ok)
 	require.Equal(t, replica.LeafCrashed, (<-got)[0].Reply.Outcome)
 }
+
+// Guards against a request that crashes leafs at one instance after the other. The crashes seen by
+// one instance once waited for the next tick of its membership, up to 100 ms, and the caller's retry
+// at the next instance arrived sooner: it was sent to a leaf of every shard, or tried once more.
+func TestCrashesAreSentWithoutWaitingForTick(t *testing.T) {
+	sender, receiver := newAgent(t, "n1"), newAgent(t, "n2")
+	sender.members.Receive(membership.Message{Kind: membership.Gossip, From: receiver.self}, time.Now())
+	go receiver.receive()
+	go sender.shareQuarantine(nil)
+	k := quarantine.KeyOf("deadly")
+	sender.quarantine.RecordLeafCrash(k, "a1", "l1", "s1", time.Now(), time.Now())
+	sender.quarantine.RecordLeafCrash(k, "a1", "l2", "s2", time.Now(), time.Now())
+	becomes := func(v quarantine.Verdict) {
+		require.Eventually(t, func() bool { return receiver.quarantine.Verdict(k, time.Now()) == v }, 10*time.Second, time.Millisecond)
+	}
+	becomes(quarantine.Suspect)
+	sender.quarantine.RecordTrial(k, quarantine.LeafCrashed, time.Now())
+	becomes(quarantine.Quarantined)
+}
+
+// newAgent returns an agent on a loopback port that shares a quarantine table and is not running.
+func newAgent(t *testing.T, name string) *Peers {
+	udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	self := membership.Member{Name: name, Zone: "z1", Addr: udp.LocalAddr().String(), Incarnation: 1}
+	p := New(self, nil, udp, textCodec{}, discardLog())
+	p.EnableQuarantineSharing(quarantine.NewTable())
+	t.Cleanup(p.Close)
+	return p
+}
--- a/pkg/quarantine/reports.go
+++ b/pkg/quarantine/reports.go
@@ -6,6 +6,8 @@
 	"maps"
 	"slices"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // Report is what instances tell each other about a request. Times are sent as ages and durations,
@@ -46,6 +48,17 @@
 	maxServiceBytes = 128
 )
 
+const (
+	// ResendInterval is the interval at which queued changes are sent again. It is also the mean
+	// interval between messages with changes: while many leafs crash, each instance sends every
+	// other one ten of them per second.
+	ResendInterval = 100 * time.Millisecond
+	// ReportBurst is the number of messages with changes that may be sent in quick succession. A
+	// request that crashes leafs causes about five changes at one instance: three crashes, a
+	// trial's crash and the quarantine.
+	ReportBurst = 10
+)
+
 // queueReport queues a change for the other instances. The caller must hold mu.
 func (t *Table) queueReport(k Key, cleared bool, now time.Time) {
 	t.pending = slices.DeleteFunc(t.pending, func(p pendingReport) bool { return p.key == k })
@@ -56,6 +69,43 @@
 	if len(t.pending) < maxPendingReports {
 		t.pending = append(t.pending, p)
 	}
+	select {
+	case t.changed <- struct{}{}:
+	default:
+	}
+}
+
+// Changed returns a channel that receives a value when a change was queued for the other
+// instances. It must be sent at once: a caller retries within milliseconds at another instance,
+// and each instance that does not know of the crashes sends the request to further leafs. Several
+// changes may cause one value. The channel has one receiver.
+func (t *Table) Changed() <-chan struct{} { return t.changed }
+
+// ReportPacer limits the rate of messages with changes. It is used by one goroutine.
+type ReportPacer struct {
+	table *Table
+	limit *rate.Limiter
+}
+
+// NewReportPacer returns a pacer for the changes of a table.
+func NewReportPacer(t *Table) *ReportPacer {
+	return &ReportPacer{table: t, limit: rate.NewLimiter(rate.Every(ResendInterval), ReportBurst)}
+}
+
+// Due returns up to n changes to send now: none if none is queued, or if too many messages were
+// sent recently. Changes that are held back are returned by a later call.
+func (p *ReportPacer) Due(n int, now time.Time) []Report {
+	if !p.table.hasPending() || !p.limit.AllowN(now, 1) {
+		return nil
+	}
+	return p.table.PendingReports(n, now)
+}
+
+// hasPending reports whether changes are queued.
+func (t *Table) hasPending() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.pending) > 0
 }
 
 // PendingReports returns up to n queued changes to send to other instances, the most severe
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -23,8 +23,10 @@
 type Table struct {
 	mu      sync.Mutex
 	records map[Key]*record
-	// pending are the changes that still have to be sent to other instances.
+	// pending are the changes that still have to be sent to other instances. changed holds a
+	// value when one was added.
 	pending   []pendingReport
+	changed   chan struct{}
 	lastSweep time.Time
 	// maxDuration is the maximum duration of a quarantine.
 	maxDuration time.Duration
@@ -47,7 +49,10 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{records: make(map[Key]*record), maxDuration: quarantineDurations[len(quarantineDurations)-1]}
+	return &Table{
+		records: make(map[Key]*record), changed: make(chan struct{}, 1),
+		maxDuration: quarantineDurations[len(quarantineDurations)-1],
+	}
 }
 
 // SetMaxDuration limits the duration of quarantines, including those already in force.
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -231,3 +231,29 @@
 	require.Equal(t, Suspect, table.Admit(k, at(4*time.Second)).Verdict)
 	require.Equal(t, time.Second, table.RecordTrial(k, LeafCrashed, at(4*time.Second)).QuarantinedFor)
 }
+
+// Guards against changes that wait for a timer before other instances learn of them, and against a
+// message for each of the many crashes after a bad release. The first ten messages are sent at once,
+// further ones at ten per second, and no change is lost.
+func TestChangesAreSignalledAtOnceAndSentAtLimitedRate(t *testing.T) {
+	table := NewTable()
+	pacer := NewReportPacer(table)
+	sent, reports := 0, 0
+	for i := range 100 {
+		table.RecordLeafCrash(key(i), "a", "l", "s", epoch, epoch)
+		require.Len(t, table.Changed(), 1, "change %d was not signalled", i)
+		<-table.Changed()
+		if r := pacer.Due(12, epoch); len(r) > 0 {
+			sent++
+			reports += len(r)
+		}
+	}
+	require.Equal(t, ReportBurst, sent)
+	now := epoch
+	for range 20 {
+		now = now.Add(ResendInterval)
+		reports += len(pacer.Due(12, now))
+		require.Empty(t, pacer.Due(12, now), "a second message in the same interval")
+	}
+	require.Equal(t, 100*sendsPerReport, reports)
+}
--- a/pkg/relay/dial.go
+++ b/pkg/relay/dial.go
@@ -35,10 +35,20 @@
 	if err != nil {
 		return nil, err
 	}
+	return d.add(addr, c), nil
+}
+
+// add keeps a new connection to addr and returns it. If another query has opened one meanwhile, that
+// one is returned and c is closed.
+func (d *dialer) add(addr string, c *quic.Conn) *quic.Conn {
 	d.mu.Lock()
+	defer d.mu.Unlock()
+	if other := d.conns[addr]; other != nil && other.Context().Err() == nil {
+		_ = c.CloseWithError(codeStopping, "")
+		return other
+	}
 	d.conns[addr] = c
-	d.mu.Unlock()
-	return c, nil
+	return c
 }
 
 // drop closes the connection to addr after a failed exchange. If the peer was frozen or
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -143,11 +143,13 @@
 
 // Run answers queries and queries the peers until ctx ends, and then closes the relay.
 func (r *Relay) Run(ctx context.Context) {
-	r.wg.Add(1)
-	go func() { defer r.wg.Done(); r.acceptConns(ctx) }()
+	r.wg.Go(func() { r.acceptConns(ctx) })
+	resend := time.NewTicker(quarantine.ResendInterval)
+	defer resend.Stop()
+	r.wg.Go(func() { r.shareQuarantine(ctx, resend.C) })
 	for ctx.Err() == nil {
 		r.queryNextPeer(ctx)
-		r.waitForNextQuery(ctx)
+		service.Sleep(ctx, r.nextDelay())
 	}
 	r.dialer.closeAll()
 	_ = r.listener.Close()
@@ -156,36 +158,35 @@
 	_ = r.transport.Conn.Close()
 }
 
-// reportPollInterval is the interval at which the relay checks for new quarantine reports.
-const reportPollInterval = 20 * time.Millisecond
-
-// waitForNextQuery waits until the next query is due. If there are new quarantine reports
-// meanwhile, it sends them to all peers at once, because the caller of a request that crashes leafs
-// may retry at any entry instance.
-func (r *Relay) waitForNextQuery(ctx context.Context) {
-	deadline := time.Now().Add(r.nextDelay())
-	for ctx.Err() == nil && time.Now().Before(deadline) {
-		service.Sleep(ctx, min(reportPollInterval, time.Until(deadline)))
-		if reports := r.quarantine.PendingReports(maxReports, time.Now()); len(reports) > 0 {
+// shareQuarantine sends changes of the quarantine table to all peers until ctx ends: at once,
+// because the caller of a request that crashes leafs may retry at any entry instance within
+// milliseconds, and a second time on resend.
+//
+// It does not wait for the peers: an unreachable one would delay the next change for the others
+// by exchangeTimeout.
+func (r *Relay) shareQuarantine(ctx context.Context, resend <-chan time.Time) {
+	pacer := quarantine.NewReportPacer(r.quarantine)
+	for {
+		select {
+		case <-r.quarantine.Changed():
+		case <-resend:
+		case <-ctx.Done():
+			return
+		}
+		if reports := pacer.Due(maxReports, time.Now()); len(reports) > 0 {
 			r.queryAllPeers(ctx, reports)
 		}
 	}
 }
 
-// queryAllPeers queries every peer once and sends it the given reports.
+// queryAllPeers starts a query to every peer that sends it the given reports.
 func (r *Relay) queryAllPeers(ctx context.Context, reports []quarantine.Report) {
 	r.mu.Lock()
 	peers := slices.Clone(r.peers)
 	r.mu.Unlock()
-	var wg sync.WaitGroup
 	for _, addr := range peers {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			r.queryPeer(ctx, addr, reports)
-		}()
+		r.wg.Go(func() { r.queryPeer(ctx, addr, reports) })
 	}
-	wg.Wait()
 }
 
 // nextDelay returns the time until the next query: the interval with a jitter of ±25 %, so
