Count the bytes of answers that callers have not read

Cause: nothing bounds what an instance buffers for callers that read slowly.

Ruled out: SIOCOUTQ alone, which does not show progress within a write that blocks; a fixed send buffer per connection, 190 MB for 3,000 connections of 64 KB; a write deadline, which cuts off callers that read slowly but steadily and never applies to an answer that fits into the send buffer.

A caller's kernel announces room only in large steps, so a caller that reads steadily but very slowly looks like one that reads nothing. Answers that fit into the caller's buffer are acknowledged at once.

--- a/pkg/sock/sock.go
+++ b/pkg/sock/sock.go
@@ -61,6 +61,23 @@
 	return rtt
 }
 
+// Acknowledged returns how many bytes the peer's kernel has acknowledged so far. ok is false if the
+// connection has ended, so that nothing that was not acknowledged is kept any more, or if conn is
+// no TCP connection. It takes one system call.
+func Acknowledged(conn net.Conn) (bytes uint64, ok bool) {
+	sc, isSocket := conn.(syscall.Conn)
+	if !isSocket {
+		return 0, false
+	}
+	withFD(sc, func(fd int) {
+		info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+		if err == nil && info.State != unix.BPF_TCP_CLOSE {
+			bytes, ok = info.Bytes_acked, true
+		}
+	})
+	return bytes, ok
+}
+
 func peek(fd int) State {
 	var b [1]byte
 	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
