Disconnect callers that read nothing of their answers for 3 s

Cause: the front passes callers' sockets to net/http, which closes them after an answer whether the caller has read it or not. What the kernel holds for a caller that does not read stays there, and no one counts it.

The number of open connections now counts sockets, so that such a socket still counts towards the maximum. Stop closes these sockets, and the kernel goes on sending. The state dump and the metric node_unread_bytes show the sum.

Ruled out: counting connections by their state in net/http, which forgets a socket that is still open.

--- a/pkg/front/front.go
+++ b/pkg/front/front.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/indigoyoke/indigoyoke/pkg/backlog"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
 
@@ -20,6 +21,8 @@
 type Server struct {
 	handler  http.Handler
 	listener net.Listener
+	// backlog counts the bytes of answers that callers have not read.
+	backlog *backlog.Backlog
 	// maxConns is the maximum number of callers' connections, open is the current number.
 	maxConns int64
 	open     atomic.Int64
@@ -44,13 +47,16 @@
 // stdlibHeaderSlack is the number of bytes that net/http adds to MaxHeaderBytes by itself.
 const stdlibHeaderSlack = 4096
 
+// defaultMaxBacklog is the limit of the backlog in bytes until another one is set.
+const defaultMaxBacklog = 32 << 20
+
 // New listens on addr. At most maxConns connections are open at a time.
 func New(addr string, handler http.Handler, limits routing.Limits, maxConns int) (*Server, error) {
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	s := &Server{listener: RetryAccept(ln), limits: limits, maxConns: int64(maxConns)}
+	s := &Server{listener: RetryAccept(ln), limits: limits, maxConns: int64(maxConns), backlog: backlog.New(defaultMaxBacklog)}
 	s.handler = s.withDrainHeader(handler)
 	s.current = s.startServer(limits)
 	return s, nil
@@ -76,7 +82,6 @@
 			IdleTimeout:       limits.IdleTimeout,
 			MaxHeaderBytes:    max(limits.HeaderBytes-stdlibHeaderSlack, 1),
 			ErrorLog:          discardLog,
-			ConnState:         s.trackConn,
 			ConnContext:       withCallerConn,
 		},
 	}
@@ -84,15 +89,8 @@
 	return ls
 }
 
-// trackConn updates the number of open connections.
-func (s *Server) trackConn(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		s.open.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		s.open.Add(-1)
-	}
-}
+// Backlog returns the bytes of answers that callers have not read.
+func (s *Server) Backlog() *backlog.Backlog { return s.backlog }
 
 // OpenConns returns the number of callers' connections that are open.
 func (s *Server) OpenConns() int64 { return s.open.Load() }
@@ -124,7 +122,8 @@
 			s.reject(conn)
 			continue
 		}
-		s.dispatch(conn)
+		s.open.Add(1)
+		s.dispatch(s.backlog.Wrap(conn, func() { s.open.Add(-1) }))
 	}
 }
 
@@ -181,6 +180,7 @@
 		}()
 	}
 	wg.Wait()
+	s.backlog.Close()
 }
 
 // Bounds of the backoff after an accept error.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -95,6 +95,7 @@
 	if n.front, err = front.New(set.Listen.Callers, adapter.CallerHandler(n.gateway, n.log), initialLimits, set.Limits.MaxConnections); err != nil {
 		return nil, err
 	}
+	n.front.Backlog().SetLimit(int64(set.Limits.MaxHeldBytes))
 	if n.status, err = n.newStatusServers(set, adapter.ReadyPath); err != nil {
 		return nil, err
 	}
@@ -235,6 +236,7 @@
 		case now := <-ticker.C:
 			n.gateway.Tick(now)
 			n.pool.Sweep(now)
+			n.sweepBacklog(now)
 			n.follower.Sweep(now)
 		case <-ctx.Done():
 			return
@@ -242,6 +244,15 @@
 	}
 }
 
+// sweepBacklog disconnects the callers that read nothing of their answers.
+func (n *Node) sweepBacklog(now time.Time) {
+	for _, s := range n.front.Backlog().Sweep(now) {
+		n.log.Decision("caller_stalled", oplog.Fields{
+			"caller": s.Caller.String(), "unread_bytes": s.Unread, "after_ms": s.For.Milliseconds(),
+		})
+	}
+}
+
 // ready reports whether callers should be sent to this instance.
 func (n *Node) ready() bool {
 	now := time.Now()
--- a/pkg/node/reload.go
+++ b/pkg/node/reload.go
@@ -50,6 +50,7 @@
 	n.set.Store(set)
 	n.table.SetOptions(tableOptions(set))
 	n.gateway.SetOptions(gatewayOptions(set))
+	n.front.Backlog().SetLimit(int64(set.Limits.MaxHeldBytes))
 	n.gateway.Quarantine().SetMaxDuration(settings.Duration(set.Limits.MaxQuarantineMs), time.Now())
 	n.log.State("reloaded", oplog.Fields{"why": reason, "needs_restart": needsRestart})
 }
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -58,17 +58,19 @@
 
 // State is the instance's state dump.
 type State struct {
-	Name          string              `json:"name"`
-	Zone          string              `json:"zone"`
-	Ready         bool                `json:"ready"`
-	Draining      bool                `json:"draining"`
-	UptimeMs      int64               `json:"uptime_ms"`
-	ConfigVersion int64               `json:"config_version"`
-	Routes        int                 `json:"routes"`
-	InFlight      int64               `json:"in_flight"`
-	OpenConns     int64               `json:"open_leaf_connections"`
-	Leafs         []replica.LeafState `json:"leafs"`
-	Members       []MemberState       `json:"members"`
+	Name          string `json:"name"`
+	Zone          string `json:"zone"`
+	Ready         bool   `json:"ready"`
+	Draining      bool   `json:"draining"`
+	UptimeMs      int64  `json:"uptime_ms"`
+	ConfigVersion int64  `json:"config_version"`
+	Routes        int    `json:"routes"`
+	InFlight      int64  `json:"in_flight"`
+	OpenConns     int64  `json:"open_leaf_connections"`
+	// UnreadBytes is the number of bytes of answers that callers have not read.
+	UnreadBytes int64               `json:"unread_bytes"`
+	Leafs       []replica.LeafState `json:"leafs"`
+	Members     []MemberState       `json:"members"`
 	// Quarantine lists the requests that are suspected or known to crash leafs.
 	Quarantine []quarantine.State `json:"quarantine"`
 	// EvacuatedZones lists the availability zones whose leafs must not get requests.
@@ -97,7 +99,7 @@
 	s := State{
 		Name: set.Name, Zone: set.Zone, Ready: n.ready(), Draining: n.draining.Load(),
 		UptimeMs: time.Since(n.started).Milliseconds(), InFlight: n.gateway.InFlight(),
-		OpenConns: n.pool.Stats.OpenConns.Load(), Leafs: n.table.Dump(time.Now()), Members: n.peering.state(), Peers: n.peering.connected(),
+		OpenConns: n.pool.Stats.OpenConns.Load(), UnreadBytes: n.front.Backlog().Bytes(), Leafs: n.table.Dump(time.Now()), Members: n.peering.state(), Peers: n.peering.connected(),
 		EvacuatedZones: n.table.EvacuatedZones(),
 		Quarantine:     n.gateway.Quarantine().Dump(time.Now()),
 		Store:          n.storeState(),
@@ -136,6 +138,8 @@
 	gauge("node_requests_in_flight", func() float64 { return float64(n.gateway.InFlight()) })
 	gauge("node_caller_connections_open", func() float64 { return float64(n.front.OpenConns()) })
 	gauge("node_caller_connections_turned", func() float64 { return float64(n.front.RejectedConns()) })
+	gauge("node_unread_bytes", func() float64 { return float64(n.front.Backlog().Bytes()) })
+	gauge("node_callers_stalled", func() float64 { return float64(n.front.Backlog().StalledCallers()) })
 	gauge("node_leaf_connections_open", func() float64 { return float64(n.pool.Stats.OpenConns.Load()) })
 	gauge("node_leaf_dials", func() float64 { return float64(n.pool.Stats.Dials.Load()) })
 	gauge("node_leaf_dial_errors", func() float64 { return float64(n.pool.Stats.DialErrors.Load()) })
--- a/pkg/oplog/levels.go
+++ b/pkg/oplog/levels.go
@@ -47,6 +47,7 @@
 	"query_taken_late":          logrus.WarnLevel,
 	"query_not_granted":         logrus.WarnLevel,
 	"request_failed":            logrus.WarnLevel,
+	"caller_stalled":            logrus.WarnLevel,
 	"request_suspect":           logrus.WarnLevel,
 	"query_given_up":            logrus.WarnLevel,
 	"query_failed":              logrus.WarnLevel,
