Refuse requests while callers have too many bytes unread

Cause: nothing bounds the bytes of answers that callers have not read (docs/design/hard-load.md, part 4), and requests run whether there is room for their answers or not.

Change: before anything of a request runs, the gateway asks the backlog. From three quarters of limits.max_held_bytes on it refuses requests of rank 1 and above, at the limit all (IY2001, 503, not run, with the retry hint). Requests in flight and their answers are not touched. Metric gateway_backlog_refusals_total by rank; request_refused has rank, unread_bytes and measured_ms, the age of the measurement. The product's own frontend (pkg/entry) has no such bound.

The reading of leafs' replies needed no change: the gateway reads a reply to its end before the answer is written, and the new test shows it with a leaf whose write returns only once its 3 MB are read.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -198,6 +198,8 @@
 	isolatedSince atomic.Pointer[time.Time]
 	evacuations   evacuations
 	inFlight      atomic.Int64
+	// backlog is nil if the bytes that callers have not read are not bounded.
+	backlog Backlog
 }
 
 // New returns a gateway without a configuration, which refuses requests until one is set.
@@ -257,6 +259,9 @@
 		return g.refuse(req, route, errcode.EntryOverloaded, g.opts.Load().RetryAfter)
 	}
 	defer g.inFlight.Add(-1)
+	if g.backlog != nil && !g.backlog.Admits(route.Priority, time.Now()) {
+		return g.refuseForBacklog(req, route)
+	}
 	if remaining := g.quarantine.Remaining(req.Key, time.Now()); remaining > 0 {
 		return g.refuseQuarantined(req, route, remaining)
 	}
@@ -285,20 +290,6 @@
 	return req.Arrived.Add(timeout - min(g.opts.Load().AnswerMargin+req.NetworkDelay, timeout/networkDelayDivisor))
 }
 
-// refuse answers a request of which nothing has run.
-func (g *Gateway) refuse(req *Request, route *routing.Route, code errcode.Code, retryAfter time.Duration) Answer {
-	name := ""
-	if route != nil {
-		name = route.Name
-	}
-	g.stats.refused(code)
-	g.log.Decision("request_refused", req.logFields(name, oplog.Fields{
-		"code": code.String(), "reason": code.Name(),
-		"retry_after_ms": retryAfter.Milliseconds(), "config_version": g.version(), "in_flight": g.inFlight.Load(),
-	}))
-	return Answer{Code: code, RetryAfter: retryAfter}
-}
-
 // callerDisconnected ends a request whose caller has closed its connection.
 func (g *Gateway) callerDisconnected(req *Request, route *routing.Route) Answer {
 	g.stats.callerDisconnected()
--- a/pkg/gateway/stats.go
+++ b/pkg/gateway/stats.go
@@ -42,6 +42,10 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`gateway_refusals_total{code=%q}`, code.String())).Inc()
 }
 
+func (s *Stats) refusedForBacklog(rank int) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`gateway_backlog_refusals_total{rank="%d"}`, rank)).Inc()
+}
+
 func (s *Stats) partialAnswer() {
 	s.set.GetOrCreateCounter(`gateway_partial_answers_total`).Inc()
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -96,6 +96,7 @@
 		return nil, err
 	}
 	n.front.Backlog().SetLimit(int64(set.Limits.MaxHeldBytes))
+	n.gateway.UseBacklog(n.front.Backlog())
 	if n.status, err = n.newStatusServers(set, adapter.ReadyPath); err != nil {
 		return nil, err
 	}
