--- a/pkg/gateway/stats.go
+++ b/pkg/gateway/stats.go
@@ -90,6 +90,10 @@
 	}
 }
 
+func (s *Stats) refusedForBacklog(rank int) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`gateway_backlog_refusals_total{rank=%q}`, rankLabel(rank))).Inc()
+}
+
 func (s *Stats) partialAnswer() {
 	s.set.GetOrCreateCounter(`gateway_partial_answers_total`).Inc()
 }
--- a/pkg/oplog/levels.go
+++ b/pkg/oplog/levels.go
@@ -56,6 +56,7 @@
 	"request_peer_lost":         logrus.WarnLevel,
 	"request_ended_elsewhere":   logrus.WarnLevel,
 	"request_failed":            logrus.WarnLevel,
+	"caller_stalled":            logrus.WarnLevel,
 	"request_suspect":           logrus.WarnLevel,
 	"route_rank_invalid":        logrus.WarnLevel,
 	"query_given_up":            logrus.WarnLevel,
