--- a/pkg/backlog/backlog.go
+++ b/pkg/backlog/backlog.go
@@ -16,8 +16,13 @@
 )
 
 const (
-	// StallTimeout is how long a caller may read nothing of an answer before it is disconnected.
+	// StallTimeout is how long a caller may read nothing of an answer before it is disconnected
+	// while the backlog is at half of its limit or above. Below, nobody needs the memory, and an
+	// answer that waits for a link that is cut for some seconds is still delivered.
 	StallTimeout = 3 * time.Second
+	// maxStall is how long a caller may read nothing in any case: twice the longest time for which
+	// callers wait.
+	maxStall = 30 * time.Second
 	// maxSweepGap is the maximum time between two sweeps that counts towards StallTimeout. The gap
 	// is longer if this process was paused, and what callers read meanwhile is unknown.
 	maxSweepGap = 500 * time.Millisecond
@@ -132,8 +137,8 @@
 	For    time.Duration
 }
 
-// Sweep measures all connections, disconnects the callers that have read nothing for StallTimeout,
-// and closes connections whose close waited for their last bytes. It must be called several times
+// Sweep measures all connections, disconnects the callers that have read nothing for too long, and
+// closes connections whose close waited for their last bytes. It must be called several times
 // per second.
 func (b *Backlog) Sweep(now time.Time) []Stall {
 	b.mu.Lock()
@@ -153,7 +158,7 @@
 			if c.closing.Load() {
 				_ = c.closeSocket() // All bytes were read.
 			}
-		case c.stalled >= StallTimeout:
+		case c.stalled >= b.stallTimeout():
 			stalls = append(stalls, Stall{Caller: c.RemoteAddr(), Unread: c.unread(), For: c.stalled})
 			b.stallCount++
 			b.remove(c)
@@ -164,6 +169,14 @@
 	return stalls
 }
 
+// stallTimeout returns how long a caller may read nothing now. mu must be held.
+func (b *Backlog) stallTimeout() time.Duration {
+	if b.held < b.limit/2 {
+		return maxStall
+	}
+	return StallTimeout
+}
+
 // Close closes the sockets whose close waited for the caller. The kernel goes on sending what the
 // caller has not read.
 func (b *Backlog) Close() {
--- a/pkg/backlog/backlog_test.go
+++ b/pkg/backlog/backlog_test.go
@@ -104,7 +104,7 @@
 // Guards against memory that is held forever for callers that never read, and against
 // disconnecting callers that read slowly.
 func TestCallerThatReadsNothingIsDisconnected(t *testing.T) {
-	b := New(1 << 20)
+	b := New(1900)
 	silent, slow, quick := newCaller(b), newCaller(b), newCaller(b)
 	silent.answer(t, 1000)
 	slow.answer(t, 1000)
@@ -135,7 +135,7 @@
 // Guards against callers that are disconnected after this process was paused: they may have read
 // all the time.
 func TestPauseOfThisProcessIsNotCountedAsStall(t *testing.T) {
-	b := New(1 << 20)
+	b := New(1000)
 	c := newCaller(b)
 	c.answer(t, 1000)
 	require.Empty(t, b.Sweep(epoch))
@@ -144,10 +144,21 @@
 	require.Len(t, sweepFor(b, epoch.Add(time.Minute+2*time.Second), time.Second), 1)
 }
 
+// Guards against an answer that is cut off while a link is down for some seconds although nothing
+// else needs the memory.
+func TestCallerBelowHalfOfTheLimitIsDisconnectedLater(t *testing.T) {
+	b := New(1 << 20)
+	c := newCaller(b)
+	c.answer(t, 1000)
+	require.Empty(t, sweepFor(b, epoch, 29*time.Second))
+	require.Zero(t, c.socket.closed)
+	require.Len(t, sweepFor(b, epoch.Add(29*time.Second), 2*time.Second), 1)
+}
+
 // Guards against an idle caller that is disconnected because of the time in which it had nothing to
 // read.
 func TestTimeWithoutUnreadBytesIsNotCountedAsStall(t *testing.T) {
-	b := New(1 << 20)
+	b := New(10)
 	c := newCaller(b)
 	c.answer(t, 10)
 	require.Empty(t, sweepFor(b, epoch, 2900*time.Millisecond))
