priority: returning callers go first for a quarter of the admissions; no cut by one miss

Cause: in replays with callers that retry once, an admission on a return takes the place of a new caller that would be in time, and no fewer callers are refused twice.

Change: unpromised returning callers go first for a quarter of the admissions instead of half; promised ones are limited by the bound of the credit alone. The weight of one sample is at most 0.3.

--- a/pkg/priority/group.go
+++ b/pkg/priority/group.go
@@ -43,10 +43,13 @@
 // admitted first as to be refused first.
 const initialCredit = 0.5
 
-// returnFraction is the part of the admissions that is reserved for returning callers. Without this
-// limit they would take all of a share of half or less: each new caller would be refused once and
-// answered after its target.
-const returnFraction = 0.5
+// returnFraction is the part of the admissions for which returning callers go before new ones. It
+// does not apply to promised callers, whose number the promises limit. Each caller admitted on its
+// return takes the place of a new one, which would be answered within its target. In replays with
+// callers that retry once, 0.40 of the less urgent callers were answered in time and 0.15 late; with a
+// half 0.28 and 0.26, and without a limit 0.04 in time, because each new caller was refused once. The
+// fraction refused twice was the same.
+const returnFraction = 0.25
 
 // maxRefusedNew limits the number of refused callers that are expected back. Callers that do not return
 // must not be expected for long.
@@ -73,8 +76,8 @@
 	signal signal
 	// credit is increased by the share with each arrival and reduced by 1 with each admission.
 	credit float64
-	// returnCredit is increased by the part of the share that is reserved for returning callers, and
-	// reduced by 1 when such a caller is admitted.
+	// returnCredit is increased by the part of the share for which returning callers go before new
+	// ones, and reduced by 1 when such a caller is admitted.
 	returnCredit float64
 	// refusedNew is the number of refused new callers that have not returned yet. The return of one of
 	// them accrues no credit: its first arrival did.
@@ -136,16 +139,16 @@
 		m.credit += m.rank.share
 		m.returnCredit = min(m.returnCredit+returnFraction*m.rank.share, 1)
 	}
-	needed := 1.0
-	if overdraft := overdrafts[caller]; m.returnCredit >= 1-overdraft && m.credit >= 1-overdraft {
-		needed = 1 - overdraft
+	overdraft := overdrafts[caller]
+	if caller == ReturningCaller && m.returnCredit < 1-overdraft {
+		overdraft = 0
 	}
-	if m.credit < needed {
+	if m.credit < 1-overdraft {
 		return false
 	}
 	m.credit--
-	if caller != NewCaller {
-		m.returnCredit = max(m.returnCredit-1, -overdrafts[PromisedCaller])
+	if caller == ReturningCaller {
+		m.returnCredit = max(m.returnCredit-1, -overdrafts[ReturningCaller])
 	}
 	return true
 }
--- a/pkg/priority/signal.go
+++ b/pkg/priority/signal.go
@@ -12,7 +12,7 @@
 	// smoothing is the time constant of the averages. The weight of one sample is limited on both
 	// sides, so that a single miss among rare queries causes no reduction.
 	smoothing            = 100 * time.Millisecond
-	minWeight, maxWeight = 0.05, 0.35
+	minWeight, maxWeight = 0.05, 0.3
 	// freshFor is the age up to which a sample of an urgent route counts; queries of other ranks
 	// are used instead of older ones.
 	freshFor = 200 * time.Millisecond
