Lower the limit of quick replies where work is long

Change: 1.2 times the best latency. Ruled out: 1.1 times, no better in the phases with slow or lost leafs.

--- a/pkg/leafqueue/window.go
+++ b/pkg/leafqueue/window.go
@@ -26,10 +26,11 @@
 	// capacity left. quickFraction limits it to a fraction of the target latency, because a typical
 	// latency that was learned during an overload is too long: with a third, a tenth of the answers
 	// missed the target when half of the leafs were slow. The limit is at least quickBestFactor times
-	// the best latency, as the work alone may take longer than that fraction.
+	// the best latency, as the work alone may take longer than that fraction; 1.5 times let windows
+	// grow in an overload of such requests.
 	quickFactor     = 2
 	quickFraction   = 0.25
-	quickBestFactor = 1.5
+	quickBestFactor = 1.2
 	// minExcessLimit is the smallest limit of the requests in flight at a leaf whose window is
 	// exceeded.
 	minExcessLimit = 2
