Treat a missing or negative rank as the least urgent

Cause: a route without "priority" was decoded as rank 0, the most urgent, and a negative rank made a query exempt from refusals.

One route_rank_invalid line per version gives the number of such routes and one name. Metrics keep nine rank labels.

Tests: TestNegativeRankIsNotControlled is replaced by TestUnrankedRoutesAreLeastUrgent: the old one demanded the exemption. The new one demands control with the least urgent rank, and that a group of unranked routes is not controlled in any scope.

Ruled out: refusing the entry. SetRoutes no longer filters negative ranks, because a decoded configuration cannot contain one.

--- a/pkg/gateway/priority.go
+++ b/pkg/gateway/priority.go
@@ -28,8 +28,9 @@
 		routes = append(routes, r)
 		return true
 	})
-	for _, name := range g.priorities.SetRoutes(routes) {
-		g.log.State("route_rank_invalid", oplog.Fields{"route": name, "config_version": c.Version, "instead": "admitted regardless of ranks"})
+	g.priorities.SetRoutes(routes)
+	if count, example := c.UnrankedRoutes(); count > 0 {
+		g.log.State("route_rank_invalid", oplog.Fields{"routes": count, "route": example, "config_version": c.Version, "instead": "least urgent rank"})
 	}
 	g.stats.registerShares(g.priorities)
 }
--- a/pkg/gateway/priority_test.go
+++ b/pkg/gateway/priority_test.go
@@ -190,3 +190,32 @@
 		return g.priorities.Reduced("other")
 	}, 10*time.Second, 20*time.Millisecond)
 }
+
+// Guards against a route without a rank that an operator does not learn of, and against a log line
+// for each route or request instead of one per version.
+func TestUnrankedRoutesAreLoggedOncePerVersion(t *testing.T) {
+	g, log, flush := newRankedGateway(t, 2, 0, answered)
+	unranked := func(name string) *routing.Route {
+		return &routing.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Priority: routing.LeastUrgentRank, Unranked: true}
+	}
+	routes := []*routing.Route{unranked("x"), unranked("y"), {Name: "z", Host: "h", Prefix: "/z/"}}
+	require.True(t, g.SetConfig(routing.NewConfig(3, routes, nil, routing.Limits{})))
+	require.False(t, g.SetConfig(routing.NewConfig(3, routes, nil, routing.Limits{})))
+	require.True(t, g.SetConfig(routing.NewConfig(4, routes[2:], nil, routing.Limits{})))
+	flush()
+	got := lines(t, log, "route_rank_invalid")
+	require.Len(t, got, 1)
+	require.EqualValues(t, 2, got[0]["routes"])
+	require.Equal(t, "x", got[0]["route"])
+	require.EqualValues(t, 3, got[0]["config_version"])
+}
+
+// Guards against a metric series for each rank that an operator ever publishes.
+func TestRankLabelsAreBounded(t *testing.T) {
+	labels := map[string]bool{}
+	for rank := range 1000 {
+		labels[rankLabel(rank)] = true
+	}
+	require.Len(t, labels, maxRankLabel+2)
+	require.Equal(t, "8+", rankLabel(routing.LeastUrgentRank))
+}
--- a/pkg/priority/config_test.go
+++ b/pkg/priority/config_test.go
@@ -38,15 +38,27 @@
 	}
 }
 
-// Guards against a panic, or a refusal, because of a rank that is out of range.
-func TestNegativeRankIsNotControlled(t *testing.T) {
-	c := New(defaults())
-	invalid := c.SetRoutes(append(twoRanks(), gatherRoute("bad", -1, urgentTarget, "a")))
-	require.Equal(t, []string{"bad"}, invalid)
-	require.Equal(t, Decision{Admitted: true, Share: 1}, c.Admit("bad", NewCaller, epoch))
-	c.Observe("bad", Sample{Missed: true}, epoch)
-	require.False(t, c.Reduced("bad"))
-	require.True(t, c.Admit("other", NewCaller, epoch).Controlled)
+// Guards against a route without a published rank that is favored as the most urgent one, that is
+// exempt from refusals, or that changes anything where no route has a rank.
+func TestUnrankedRoutesAreLeastUrgent(t *testing.T) {
+	unranked := func(name string) *routing.Route {
+		r := gatherRoute(name, routing.LeastUrgentRank, urgentTarget, "a")
+		r.Unranked = true
+		return r
+	}
+	h := newHarness(defaults(), append(twoRanks(), unranked("bad"))...)
+	h.run(time.Second, missed, "urgent", "other", "bad")
+	require.True(t, h.Reduced("bad"))
+	require.LessOrEqual(t, h.share("bad"), h.share("other"))
+	require.False(t, h.Reduced("urgent"))
+	require.Equal(t, []int{0, 1, routing.LeastUrgentRank}, h.Ranks())
+
+	for _, scope := range []Scope{UrgentGroups, MixedGroups} {
+		h = newHarness(Options{Scope: scope, MinShare: 0.3}, unranked("x"), unranked("y"))
+		h.run(time.Second, missed, "x", "y")
+		require.Empty(t, h.Dump(h.now))
+		require.Equal(t, Decision{Admitted: true, Share: 1}, h.Admit("x", NewCaller, h.now))
+	}
 }
 
 // Guards against a share that is lost, or kept for other routes, by a change of the configuration.
--- a/pkg/priority/controller.go
+++ b/pkg/priority/controller.go
@@ -105,22 +105,16 @@
 }
 
 // SetRoutes replaces the routes. Groups whose routes and ranks are unchanged keep their state.
-// Routes with a negative rank are not controlled; their names are returned.
-func (c *Controller) SetRoutes(routes []*routing.Route) (invalid []string) {
+func (c *Controller) SetRoutes(routes []*routing.Route) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.routes = nil
 	for _, r := range routes {
-		switch {
-		case r.Kind != routing.Gather:
-		case r.Priority < 0:
-			invalid = append(invalid, r.Name)
-		default:
+		if r.Kind == routing.Gather {
 			c.routes = append(c.routes, r)
 		}
 	}
 	c.rebuild()
-	return invalid
 }
 
 // Admit decides whether a query of a route may run. It must be called once for each query.
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -56,6 +56,8 @@
 	MaxAttempts int
 	// Priority is the rank of the route; 0 is the most urgent.
 	Priority int
+	// Unranked reports that no valid rank was published, so that Priority is LeastUrgentRank.
+	Unranked bool
 	// AllowedRegions are the regions whose leafs may get the route's requests. An empty list
 	// allows all regions.
 	AllowedRegions []string
