Do not count connections whose progress the system does not report

Cause: unread bytes are measured by tcpi_bytes_acked. A network layer that answers TCP_INFO but leaves that field at 0 made each connection count as unread until it was reset after 3 to 30 s, kept it open after close, and had requests refused at the limit.

Change: a connection counts nothing from its start if the query fails when it is accepted, and from the first measurement that reports nothing acknowledged although completed writes left the send queue empty (SIOCOUTQ), or although that queue is not known. The second query is made only while nothing was ever acknowledged. The bytes are measured again after the queue, so that an acknowledgement between the two queries is no false evidence; bytes of a write in progress are no evidence either.

Ruled out: SIOCOUTQ instead of TCP_INFO. While a write is blocked, the number of bytes that the kernel has taken is not known.

--- a/pkg/backlog/backlog.go
+++ b/pkg/backlog/backlog.go
@@ -119,8 +119,11 @@
 func (b *Backlog) sample(c *Conn) {
 	before := c.unread()
 	read, ok := c.progress()
-	if !ok {
-		read = c.submitted // The connection is lost, and the kernel has released its buffer.
+	if ok && read <= 0 && c.withoutProgress() {
+		c.uncounted = true
+	}
+	if !ok || c.uncounted {
+		read = c.submitted // The connection is lost and the kernel has released its buffer, or it is not counted.
 	}
 	c.read = min(max(read, c.read), c.submitted)
 	b.held += c.unread() - before
@@ -201,6 +204,9 @@
 func (b *Backlog) submit(c *Conn, n int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if c.uncounted {
+		return
+	}
 	if c.unread() == 0 {
 		c.stalled, c.swept = 0, false
 	}
@@ -209,12 +215,17 @@
 	b.conns[c] = struct{}{}
 }
 
-// withdraw counts bytes that could not be written as never submitted.
-func (b *Backlog) withdraw(c *Conn, n int) {
+// finish records the end of a write to a connection. It counts bytes that could not be written as
+// never submitted.
+func (b *Backlog) finish(c *Conn, written, failed int) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	c.written += int64(written)
+	if failed == 0 || c.uncounted {
+		return
+	}
 	before := c.unread()
-	c.submitted -= int64(n)
+	c.submitted -= int64(failed)
 	c.read = min(c.read, c.submitted)
 	b.held += c.unread() - before
 }
@@ -223,10 +234,12 @@
 // when the connection's socket is closed. It must not call b.
 func (b *Backlog) Wrap(conn net.Conn, onClosed func()) *Conn {
 	c := &Conn{Conn: conn, backlog: b, onClosed: onClosed}
-	base, _ := sock.Acknowledged(conn)
+	base, ok := sock.Acknowledged(conn)
+	c.uncounted = !ok // No TCP connection, no such query in this system, or lost already.
 	c.progress = func() (int64, bool) {
 		acked, ok := sock.Acknowledged(conn)
 		return int64(acked - base), ok
 	}
+	c.queued = func() (int, bool) { return sock.SendQueue(conn) }
 	return c
 }
--- a/pkg/backlog/conn.go
+++ b/pkg/backlog/conn.go
@@ -20,21 +20,46 @@
 	// connection is lost. Bytes that wait in the caller's kernel cost this instance nothing and
 	// count as read.
 	progress func() (int64, bool)
+	// queued returns the number of bytes in the socket's send queue, which includes those that were
+	// sent and not acknowledged, and false if it is not known.
+	queued func() (int, bool)
 
 	// closing is set by the first Close, socketClosed when the socket is closed.
 	closing, socketClosed atomic.Bool
 
 	// The fields below are guarded by backlog.mu. submitted is the number of bytes passed to
-	// Write, and read how many of them the caller has read. stalled is how long the caller has
-	// read nothing while there were unread bytes, and swept reports whether a sweep has seen these.
-	submitted, read int64
-	stalled         time.Duration
-	swept           bool
+	// Write, written how many of them the socket has accepted in writes that have returned, and read
+	// how many the caller has read. stalled is how long the caller has read nothing while there
+	// were unread bytes, and swept reports whether a sweep has seen these.
+	submitted, written, read int64
+	stalled                  time.Duration
+	swept                    bool
+	// uncounted reports that the system does not tell what the caller has read. Such a connection
+	// has no unread bytes.
+	uncounted bool
 }
 
 // unread returns the number of bytes that the caller has not read. backlog.mu must be held.
 func (c *Conn) unread() int64 { return c.submitted - c.read }
 
+// withoutProgress reports whether the system evidently does not report acknowledged bytes: it has
+// reported none, although bytes were written to the socket and its send queue holds none. Some
+// network layers answer TCP_INFO and leave tcpi_bytes_acked at 0; such a caller would count as one
+// that never reads. If the send queue is unknown as well, there is no evidence that 0 is true.
+// backlog.mu must be held.
+func (c *Conn) withoutProgress() bool {
+	if c.written == 0 || c.read > 0 {
+		return false
+	}
+	queued, ok := c.queued()
+	if ok && queued > 0 {
+		return false
+	}
+	// The queue may have become empty after the bytes were measured.
+	acked, _ := c.progress()
+	return acked <= 0
+}
+
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
 	if c.closing.Load() {
@@ -42,9 +67,7 @@
 	}
 	c.backlog.submit(c, len(p))
 	n, err := c.Conn.Write(p)
-	if n < len(p) {
-		c.backlog.withdraw(c, len(p)-n)
-	}
+	c.backlog.finish(c, n, len(p)-n)
 	return n, err
 }
 
--- a/pkg/sock/sock.go
+++ b/pkg/sock/sock.go
@@ -78,6 +78,21 @@
 	return bytes, ok
 }
 
+// SendQueue returns the number of bytes in the socket's send queue: those that were not sent yet and
+// those that the peer's kernel has not acknowledged. ok is false if it is not known. It takes one
+// system call.
+func SendQueue(conn net.Conn) (bytes int, ok bool) {
+	sc, isSocket := conn.(syscall.Conn)
+	if !isSocket {
+		return 0, false
+	}
+	withFD(sc, func(fd int) {
+		n, err := unix.IoctlGetInt(fd, unix.SIOCOUTQ)
+		bytes, ok = n, err == nil
+	})
+	return bytes, ok
+}
+
 func peek(fd int) State {
 	var b [1]byte
 	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
--- a/pkg/sock/sock_test.go
+++ b/pkg/sock/sock_test.go
@@ -1,6 +1,7 @@
 package sock
 
 import (
+	"io"
 	"net"
 	"testing"
 	"time"
@@ -55,6 +56,26 @@
 	require.False(t, ok)
 }
 
+// Checks that bytes that the peer's kernel has not accepted are in the send queue, and no others.
+func TestSendQueue(t *testing.T) {
+	client, server := connect(t)
+	require.NoError(t, client.(*net.TCPConn).SetReadBuffer(16<<10))
+	require.NoError(t, server.SetWriteDeadline(time.Now().Add(100*time.Millisecond)))
+	n, err := server.Write(make([]byte, 64<<20))
+	require.Error(t, err, "the buffers are full")
+	queued, ok := SendQueue(server)
+	require.True(t, ok)
+	require.Positive(t, queued)
+	_, err = io.CopyN(io.Discard, client, int64(n))
+	require.NoError(t, err)
+	require.Eventually(t, func() bool { queued, ok := SendQueue(server); return ok && queued == 0 }, 10*time.Second, time.Millisecond)
+	require.NoError(t, server.Close())
+	_, ok = SendQueue(server)
+	require.False(t, ok)
+	_, ok = SendQueue(nil)
+	require.False(t, ok)
+}
+
 // connect returns the two ends of a loopback connection.
 func connect(t testing.TB) (client, server net.Conn) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
