front: test reuse, half-close, reset, hijack and stop with unread answers

Cause: connections wait for their callers before their sockets are closed, but only closing after a slow read and a caller that never reads were tested.

Change: tests of keep-alive reuse, a half-closed caller, a caller that resets before or after the server's close, a hijacked connection, and a graceful stop with a complete unread answer.

No fault found.

--- a/pkg/front/backlog_test.go
+++ b/pkg/front/backlog_test.go
@@ -17,9 +17,12 @@
 
 // startLargeAnswers starts a server whose answers have answerBytes bytes.
 func startLargeAnswers(t *testing.T) *Server {
-	s, err := New("127.0.0.1:0", http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = w.Write(make([]byte, answerBytes))
-	}), limits(64<<10), 100)
+	return startServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, answerBytes)) })
+}
+
+// startServer starts a server with a handler.
+func startServer(t *testing.T, handler http.HandlerFunc) *Server {
+	s, err := New("127.0.0.1:0", handler, limits(64<<10), 100)
 	require.NoError(t, err)
 	go s.Run()
 	t.Cleanup(func() {
@@ -90,3 +93,103 @@
 	_, err := io.Copy(io.Discard, conn)
 	require.Error(t, err, "the answer is incomplete")
 }
+
+// shortAnswerBytes is the size of an answer that fits into the buffers of the kernel.
+const shortAnswerBytes = 64 << 10
+
+// startShortAnswers starts a server whose answers have shortAnswerBytes bytes.
+func startShortAnswers(t *testing.T) *Server {
+	return startServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(make([]byte, shortAnswerBytes)) })
+}
+
+// readAnswer reads one answer and returns the size of its body.
+func readAnswer(t *testing.T, r *bufio.Reader) int64 {
+	resp, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	n, err := io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	return n
+}
+
+// settles sweeps until nothing is counted as unread and the given number of connections is open.
+func settles(t *testing.T, s *Server, open int64) {
+	require.Eventually(t, func() bool {
+		s.Backlog().Sweep(time.Now())
+		return s.Backlog().Bytes() == 0 && s.OpenConns() == open
+	}, 10*time.Second, time.Millisecond)
+}
+
+// Guards against a connection that cannot be used for several requests because its answers are
+// counted, and against unread bytes that add up over them.
+func TestConnectionIsReused(t *testing.T) {
+	s := startShortAnswers(t)
+	conn := sendRequest(t, s, "")
+	answers := bufio.NewReader(conn)
+	for range 5 {
+		require.EqualValues(t, shortAnswerBytes, readAnswer(t, answers))
+		settles(t, s, 1)
+		_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+	}
+}
+
+// Guards against an answer that is lost because the caller has closed its sending side.
+func TestHalfClosedCallerGetsWholeAnswer(t *testing.T) {
+	s := startLargeAnswers(t)
+	conn := sendRequest(t, s, "")
+	require.NoError(t, conn.(*net.TCPConn).CloseWrite())
+	waitUnread(t, s)
+	require.EqualValues(t, answerBytes, readAnswer(t, bufio.NewReader(conn)))
+	settles(t, s, 0)
+}
+
+// Guards against bytes and connections that stay counted for callers that reset their connection,
+// before and after the server has closed it.
+func TestCallerThatResetsHoldsNothing(t *testing.T) {
+	for _, header := range []string{"", "Connection: close\r\n"} {
+		s := startLargeAnswers(t)
+		conn := sendRequest(t, s, header)
+		waitUnread(t, s)
+		require.NoError(t, conn.(*net.TCPConn).SetLinger(0))
+		require.NoError(t, conn.Close())
+		settles(t, s, 0)
+	}
+}
+
+// Guards against a stop that cuts off an answer that is complete but not read yet, or that waits for
+// its caller.
+func TestStopDeliversCompleteAnswers(t *testing.T) {
+	for _, header := range []string{"", "Connection: close\r\n"} {
+		s := startShortAnswers(t)
+		conn := sendRequest(t, s, header)
+		answers := bufio.NewReader(conn)
+		_, err := answers.Peek(1)
+		require.NoError(t, err)
+		ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+		began := time.Now()
+		s.Stop(ctx)
+		cancel()
+		require.Less(t, time.Since(began), 5*time.Second)
+		require.Zero(t, s.OpenConns())
+		require.EqualValues(t, shortAnswerBytes, readAnswer(t, answers))
+		_, err = conn.Read(make([]byte, 1))
+		require.ErrorIs(t, err, io.EOF)
+	}
+}
+
+// Guards against a hijacked connection whose last bytes are lost, or that stays open after its
+// handler has closed it.
+func TestHijackedConnectionIsClosedAfterItsLastBytes(t *testing.T) {
+	s := startServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err == nil {
+			_, _ = conn.Write(make([]byte, shortAnswerBytes))
+			_ = conn.Close()
+		}
+	})
+	conn := sendRequest(t, s, "")
+	n, err := io.Copy(io.Discard, conn)
+	require.NoError(t, err)
+	require.EqualValues(t, shortAnswerBytes, n)
+	settles(t, s, 0)
+}
