relay: close only the connection on which a query failed

Cause: reports of crashes are sent without waiting for earlier ones, so that several queries share a connection. When one fails, the others on that connection fail as well, and each closed the connection that was newest by then, with the queries that had begun on it.

Change: drop takes the connection that failed and keeps a newer one.

Ruled out: waiting for the peers again; an unreachable one would delay all others.

--- a/pkg/relay/dial.go
+++ b/pkg/relay/dial.go
@@ -51,16 +51,16 @@
 	return c
 }
 
-// drop closes the connection to addr after a failed exchange. If the peer was frozen or
-// replaced, the old connection may never carry a response again.
-func (d *dialer) drop(addr string) {
+// drop closes a connection to addr after a failed exchange. If the peer was frozen or
+// replaced, the connection may never carry a response again. A connection that another query has
+// opened since is kept.
+func (d *dialer) drop(addr string, c *quic.Conn) {
 	d.mu.Lock()
-	c := d.conns[addr]
-	delete(d.conns, addr)
-	d.mu.Unlock()
-	if c != nil {
-		_ = c.CloseWithError(codeFailed, "")
+	if d.conns[addr] == c {
+		delete(d.conns, addr)
 	}
+	d.mu.Unlock()
+	_ = c.CloseWithError(codeFailed, "")
 }
 
 // closeAll closes the connections to all peers.
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -32,13 +32,9 @@
 	Reports  []quarantine.Report `json:"requests,omitempty"`
 }
 
-// exchange sends a query to the peer at addr, merges the reports of its response, and returns its
-// configuration, or nil if that is not newer.
-func (r *Relay) exchange(ctx context.Context, addr string, reports []quarantine.Report) (*topology.Config, error) {
-	conn, err := r.dialer.conn(ctx, addr)
-	if err != nil {
-		return nil, err
-	}
+// exchange sends a query on a connection to the peer at addr, merges the reports of its response,
+// and returns its configuration, or nil if that is not newer.
+func (r *Relay) exchange(ctx context.Context, conn *quic.Conn, addr string, reports []quarantine.Report) (*topology.Config, error) {
 	stream, err := conn.OpenStreamSync(ctx)
 	if err != nil {
 		return nil, err
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -228,10 +228,15 @@
 	r.queriesSent.Inc()
 	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
 	defer cancel()
-	cfg, err := r.exchange(ctx, addr, reports)
+	conn, err := r.dialer.conn(ctx, addr)
 	if err != nil {
 		r.queriesFailed.Inc()
-		r.dialer.drop(addr)
+		return
+	}
+	cfg, err := r.exchange(ctx, conn, addr, reports)
+	if err != nil {
+		r.queriesFailed.Inc()
+		r.dialer.drop(addr, conn)
 		return
 	}
 	if cfg != nil && cfg.Validate() == nil && r.store.ApplyIfNewer(cfg) {
