--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -52,6 +52,13 @@
 	cancelShardCalls []context.CancelFunc
 }
 
+// recordUnsent records that a query was refused before it was sent, if it would have been a trial.
+func (g *Gateway) recordUnsent(req *Request, trial bool) {
+	if trial {
+		g.recordTrial(req, quarantine.Unsent)
+	}
+}
+
 // gather runs a query over all shards of its route.
 func (g *Gateway) gather(ctx context.Context, req *Request, route *routing.Route, deadline time.Time) Answer {
 	admission := g.quarantine.Admit(req.Key, time.Now())
@@ -61,9 +68,7 @@
 	trial := admission.Verdict == quarantine.Suspect
 	returning, promised := g.claimReturn(req, route)
 	if refused := g.admitByRank(req, route, returning, promised); refused != nil {
-		if trial {
-			g.recordTrial(req, quarantine.Unsent)
-		}
+		g.recordUnsent(req, trial)
 		return *refused
 	}
 	query := fanout.New(g.table, route, g.opts.Load().Fanout, fanout.Params{
@@ -74,9 +79,7 @@
 	})
 	sends, refusal := query.Start(time.Now())
 	if refusal != nil {
-		if trial {
-			g.recordTrial(req, quarantine.Unsent)
-		}
+		g.recordUnsent(req, trial)
 		if refusal.Overloaded {
 			g.recordOverload(route)
 		}
