routing: replace invalid ranks in one place

With overload.priorities on, a negative rank that came from elsewhere counted as more urgent than 0: TestPrioritiesApplyWhereConfigured/negative failed.

Change: NewConfig replaces negative ranks (NoRank for a missing one) in a copy of the route, so that every user of a configuration sees valid ranks.

Measured: pkg/routing, pkg/gateway and the decoding tests of platform pass.

--- a/pkg/gateway/priority_test.go
+++ b/pkg/gateway/priority_test.go
@@ -196,7 +196,7 @@
 func TestUnrankedRoutesAreLoggedOncePerVersion(t *testing.T) {
 	g, log, flush := newRankedGateway(t, 2, 0, answered)
 	unranked := func(name string) *routing.Route {
-		return &routing.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Priority: routing.LeastUrgentRank, Unranked: true}
+		return &routing.Route{Name: name, Host: "h", Prefix: "/" + name + "/", Priority: routing.NoRank}
 	}
 	routes := []*routing.Route{unranked("x"), unranked("y"), {Name: "z", Host: "h", Prefix: "/z/"}}
 	require.True(t, g.SetConfig(routing.NewConfig(3, routes, nil, routing.Limits{})))
--- a/pkg/priority/controller.go
+++ b/pkg/priority/controller.go
@@ -104,7 +104,8 @@
 	c.rebuild()
 }
 
-// SetRoutes replaces the routes. Groups whose routes and ranks are unchanged keep their state.
+// SetRoutes replaces the routes, which are those of a routing.Config and have valid ranks. Groups
+// whose routes and ranks are unchanged keep their state.
 func (c *Controller) SetRoutes(routes []*routing.Route) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/routing/rank.go
+++ b/pkg/routing/rank.go
@@ -2,17 +2,24 @@
 
 import "math"
 
-// LeastUrgentRank is the rank of a route that publishes no valid one, and the highest rank. Such a
-// route must not take capacity from routes that an operator has called urgent.
-const LeastUrgentRank = math.MaxInt32
+const (
+	// NoRank is the rank of a route that publishes none. NewConfig replaces it, and any negative
+	// rank, by LeastUrgentRank.
+	NoRank = -1
+	// LeastUrgentRank is the rank of a route that publishes no valid one, and the highest rank. Such
+	// a route must not take capacity from routes that an operator has called urgent.
+	LeastUrgentRank = math.MaxInt32
+)
 
-// RankOf returns the rank for a published priority, nil if none is published. ok is false if it is
-// missing or negative; the rank is LeastUrgentRank then.
-func RankOf(published *int) (rank int, ok bool) {
-	if published == nil || *published < 0 {
-		return LeastUrgentRank, false
+// withValidRank returns the route, or a copy with a valid rank if it has none.
+func (r *Route) withValidRank() *Route {
+	if r.Priority >= 0 && r.Priority <= LeastUrgentRank {
+		return r
 	}
-	return min(*published, LeastUrgentRank), true
+	c := *r
+	c.Unranked = r.Priority < 0
+	c.Priority = LeastUrgentRank
+	return &c
 }
 
 // UnrankedRoutes returns the number of routes that publish no valid rank, and the name of one of
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -54,7 +54,8 @@
 	// MaxAttempts is the maximum number of leafs that a request may be sent to. For a gather
 	// route, it applies to each shard.
 	MaxAttempts int
-	// Priority is the rank of the route; 0 is the most urgent.
+	// Priority is the rank of the route; 0 is the most urgent. In a Config it is between 0 and
+	// LeastUrgentRank.
 	Priority int
 	// Unranked reports that no valid rank was published, so that Priority is LeastUrgentRank.
 	Unranked bool
@@ -130,7 +131,7 @@
 	}
 	for _, r := range routes {
 		host := normalizeHost(r.Host)
-		c.routes[host] = append(c.routes[host], r)
+		c.routes[host] = append(c.routes[host], r.withValidRank())
 	}
 	return c
 }
