--- a/pkg/backlog/backlog_test.go
+++ b/pkg/backlog/backlog_test.go
@@ -20,9 +20,14 @@
 	accept   int
 	closed   int
 	aborted  bool
+	// onWrite, if not nil, is called by Write.
+	onWrite func()
 }
 
 func (c *fakeConn) Write(p []byte) (int, error) {
+	if c.onWrite != nil {
+		c.onWrite()
+	}
 	if c.writeErr != nil {
 		return c.accept, c.writeErr
 	}
@@ -40,12 +45,16 @@
 	socket *fakeConn
 	read   int64
 	lost   bool
+	// queueEmpty and noQueue say that the send queue is empty, or that its size is unknown.
+	queueEmpty, noQueue bool
 }
 
 func newCaller(b *Backlog) *caller {
 	c := &caller{socket: &fakeConn{}}
 	c.Conn = b.Wrap(c.socket, func() {})
 	c.progress = func() (int64, bool) { return c.read, !c.lost }
+	c.queued = func() (int, bool) { return map[bool]int{false: 1}[c.queueEmpty], !c.noQueue }
+	c.uncounted = false
 	return c
 }
 
@@ -211,6 +220,23 @@
 	require.True(t, b.Admits(1, epoch))
 }
 
+// Guards against system calls while every caller has read everything.
+func TestNothingIsMeasuredWithoutUnreadBytes(t *testing.T) {
+	b := New(1000)
+	measured := 0
+	for range 100 {
+		c := newCaller(b)
+		c.progress = func() (int64, bool) { measured++; return c.read, true }
+		c.answer(t, 5)
+		c.read = 5
+	}
+	b.Sweep(epoch)
+	require.Equal(t, 100, measured)
+	sweepFor(b, epoch, time.Minute)
+	require.True(t, b.Admits(1, epoch.Add(time.Hour)))
+	require.Equal(t, 100, measured)
+}
+
 // Guards against sockets that stay open after a stop.
 func TestStopClosesSocketsThatWaitForCallers(t *testing.T) {
 	b := New(1000)
