Drop abandoned at-most-once requests that wait for a peer's leaf

A granted at-most-once request went on waiting in the peer's queue, and then ran, after its caller had left or its owner was lost: RunSingle removed the cancellation for the whole run. Under overload it took a place from a request whose caller still waits.

Request.abandoned ends such a request only while it waits. One that was sent to a leaf is completed and counted as in flight, as before. The owner never tells a caller that a granted request did not run, so dropping it contradicts no answer. Cancelling the whole run was ruled out: it would end the count of requests in flight while the leaf still works.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -49,6 +49,9 @@
 	HandoffTimedOut bool
 	// Timeout is how long the caller waits for the answer; zero: the caller stated none.
 	Timeout time.Duration
+	// abandoned is closed when the answer of an at-most-once request that is run for a peer is not
+	// needed any more; nil otherwise. It ends the request only while it waits in a queue.
+	abandoned <-chan struct{}
 	// plan is set by claimReturn and plannedRetryAfter.
 	plan returnPlan
 }
--- a/pkg/gateway/singlehandoff.go
+++ b/pkg/gateway/singlehandoff.go
@@ -34,11 +34,12 @@
 // are as for Gather.
 //
 // ctx ends when the caller has disconnected or the other instance is lost. A repeatable request is
-// then cancelled. An at-most-once request is completed and stays in flight until it has ended, so
-// that a stopping instance waits for it.
+// then cancelled, and an at-most-once request that waits is dropped unrun. One that was sent to a
+// leaf is completed and stays in flight until it has ended, so that a stopping instance waits for it.
 func (g *Gateway) RunSingle(ctx context.Context, req *Request, version int64, granted func() bool) (a Answer, ok bool) {
 	return g.runForPeer(req, version, granted, isSingle, func(route *routing.Route) Answer {
 		if route.Kind == routing.AtMostOnce {
+			req.abandoned = ctx.Done()
 			ctx = context.WithoutCancel(ctx)
 		}
 		return g.runSingle(ctx, req, route, g.deadline(req, route))
--- a/pkg/gateway/singlequeued.go
+++ b/pkg/gateway/singlequeued.go
@@ -191,6 +191,9 @@
 				return r.timeoutAnswer()
 			}
 			return r.leaveAtDeadline()
+		case <-r.abandonedWhileWaiting():
+			r.leave()
+			return r.g.callerDisconnected(r.req, r.route)
 		case <-r.callerCtx.Done():
 			if r.waiting {
 				r.leave()
@@ -200,6 +203,15 @@
 	}
 }
 
+// abandonedWhileWaiting returns Request.abandoned while an attempt waits, nil otherwise. Sending the
+// request to a leaf would take a place from one whose caller still waits.
+func (r *queuedRun) abandonedWhileWaiting() <-chan struct{} {
+	if !r.waiting {
+		return nil
+	}
+	return r.req.abandoned
+}
+
 // handleReply processes one reply, and returns the answer or submits a further attempt.
 func (r *queuedRun) handleReply(reply LeafReply) (Answer, bool) {
 	if r.recordReply(reply) {
--- a/pkg/gateway/singlequeued_test.go
+++ b/pkg/gateway/singlequeued_test.go
@@ -18,7 +18,7 @@
 )
 
 // queuedTarget is the target latency of the routes of newQueuedGateway: requests wait for at most
-// 0.24 of it.
+// leafqueue.MaxWait of it.
 const queuedTarget = time.Second
 
 // newQueuedGateway returns a gateway whose routes "one" (repeatable) and "hold" (at most once) to the
