Answer left callers of sent at-most-once requests as unknown

net/http ends the context of a request when its caller closes only its sending direction. Such a caller still reads the answer, and was told IY1009, which states that the request did not run, although a leaf or a gatherer had it.

The queue and the hand-off of single requests now answer IY4001 if an at-most-once request was sent or handed off, and IY1009 if it only waited. The path without a queue is unchanged: decisions of routes to which the design does not apply stay as they are.

--- a/pkg/gateway/singleabandoned_test.go
+++ b/pkg/gateway/singleabandoned_test.go
@@ -60,3 +60,28 @@
 	<-occupying
 	require.Equal(t, 1, b.count("/hold/left"))
 }
+
+// Guards against telling a caller that closed only its sending direction, and still reads the answer,
+// that its at-most-once request did not run although it was sent to a leaf or granted to a gatherer.
+func TestLeftCallerOfSentSingleIsNotToldThatItDidNotRun(t *testing.T) {
+	for path, want := range map[string]errcode.Code{"/hold/left": errcode.OutcomeUnknown, "/one/left": errcode.CallerDisconnected} {
+		t.Run("sent"+path, func(t *testing.T) {
+			b := newBlockingLeafs()
+			defer close(b.release)
+			g := newQueuedGateway(t, b.answer)
+			ctx, leave := context.WithCancel(t.Context())
+			answer := make(chan Answer, 1)
+			go func() { answer <- g.Handle(ctx, newSingle(path)) }()
+			require.Eventually(t, func() bool { return b.count(path) == 1 }, 10*time.Second, time.Millisecond)
+			leave()
+			require.Equal(t, want, (<-answer).Code)
+		})
+		t.Run("handed off"+path, func(t *testing.T) {
+			g := newQueuedGateway(t, answered)
+			g.UseGatherers(scriptedGatherers(func(GatherQuery) (Answer, bool) {
+				return Answer{Code: errcode.CallerDisconnected}, true
+			}))
+			require.Equal(t, want, ask(g, path).Code)
+		})
+	}
+}
--- a/pkg/gateway/singlehandoff.go
+++ b/pkg/gateway/singlehandoff.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
 
@@ -21,13 +22,15 @@
 		return g.runSingle(ctx, req, route, deadline)
 	}
 	g.recordHandedOff("request_ended_elsewhere", req, route, a)
+	if a.Code == errcode.CallerDisconnected {
+		a.Code = leftCallerCode(route, true)
+	}
 	return a
 }
 
 // handsOffSingle reports whether the single requests of a route are handed off.
 func (g *Gateway) handsOffSingle(route *routing.Route) bool {
-	o := g.opts.Load().Overload
-	return g.gatherers != nil && o.SingleQueue.For(route.ShortTimeout(o.ShortTimeoutTargets)) && g.table.OwnZoneAllowed(route.Name)
+	return g.gatherers != nil && g.queuesSingle(route) && g.table.OwnZoneAllowed(route.Name)
 }
 
 // RunSingle runs a request that goes to one leaf for another instance of the zone. granted and ok
--- a/pkg/gateway/singlequeued_test.go
+++ b/pkg/gateway/singlequeued_test.go
@@ -278,7 +278,7 @@
 	for i, code := range codes {
 		seen[code]++
 		require.LessOrEqual(t, ran[fmt.Sprint(i)], 1)
-		if code.NotRun() && code != errcode.CallerDisconnected {
+		if code.NotRun() {
 			require.Zero(t, ran[fmt.Sprint(i)], "%s", code)
 		}
 	}
