--- a/pkg/gateway/single.go
+++ b/pkg/gateway/single.go
@@ -112,12 +112,17 @@
 		r.g.table.End(tracked, replica.Abandoned, now)
 		return false
 	}
-	r.triedLeafs = append(r.triedLeafs, p.Leaf.ID)
+	r.recordSent(call, why)
+	return true
+}
+
+// recordSent records a call that was sent.
+func (r *singleRun) recordSent(call LeafCall, why string) {
+	r.triedLeafs = append(r.triedLeafs, call.Leaf.ID)
 	r.inFlight++
 	if len(r.triedLeafs) > 1 {
 		r.g.recordSecondRequest(r.route, call, why)
 	}
-	return true
 }
 
 // wait runs the request until its answer is known.
--- a/pkg/gateway/singleabandoned_test.go
+++ b/pkg/gateway/singleabandoned_test.go
@@ -11,14 +11,18 @@
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 )
 
-// runForLeavingPeer runs an at-most-once request for a peer whose interest in it ends with ctx.
-func runForLeavingPeer(ctx context.Context, g *Gateway) <-chan Answer {
-	answer := make(chan Answer, 1)
+// waitForPeer starts an at-most-once request for a peer that waits for a leaf, and returns the function
+// with which the peer leaves, its answer, and those of the requests that occupy the leafs.
+func waitForPeer(t *testing.T, g *Gateway, b *blockingLeafs) (leave func(), answer, occupying <-chan Answer) {
+	occupying = occupy(t, g, b)
+	ctx, leave := context.WithCancel(t.Context())
+	answers := make(chan Answer, 1)
 	go func() {
 		a, _ := g.RunSingle(ctx, newSingle("/hold/left"), g.version(), alwaysGranted)
-		answer <- a
+		answers <- a
 	}()
-	return answer
+	awaitWaiting(t, g, 1)
+	return leave, answers, occupying
 }
 
 // Guards against a granted at-most-once request that takes a place at a leaf although its caller left,
@@ -26,10 +30,7 @@
 func TestAbandonedSingleOfPeerIsDroppedWhileItWaits(t *testing.T) {
 	b := newBlockingLeafs()
 	g := newQueuedGateway(t, b.answer)
-	occupying := occupy(t, g, b)
-	ctx, leave := context.WithCancel(t.Context())
-	answer := runForLeavingPeer(ctx, g)
-	awaitWaiting(t, g, 1)
+	leave, answer, occupying := waitForPeer(t, g, b)
 	leave()
 	require.Equal(t, errcode.CallerDisconnected, (<-answer).Code)
 	require.Zero(t, waitingCount(g))
@@ -45,10 +46,7 @@
 func TestAbandonedSingleOfPeerIsCompletedOnceSent(t *testing.T) {
 	b := newBlockingLeafs()
 	g := newQueuedGateway(t, b.answer)
-	occupying := occupy(t, g, b)
-	ctx, leave := context.WithCancel(t.Context())
-	answer := runForLeavingPeer(ctx, g)
-	awaitWaiting(t, g, 1)
+	leave, answer, occupying := waitForPeer(t, g, b)
 	g.table.Upsert(replica.Leaf{ID: "onec", Services: []string{"one"}, Zone: "z", Slots: 1}, time.Now())
 	require.Eventually(t, func() bool { return b.count("/hold/left") == 1 }, 10*time.Second, time.Millisecond)
 	leave()
--- a/pkg/gateway/singlequeued.go
+++ b/pkg/gateway/singlequeued.go
@@ -160,11 +160,7 @@
 	if err != nil {
 		return false
 	}
-	r.triedLeafs = append(r.triedLeafs, call.Leaf.ID)
-	r.inFlight++
-	if len(r.triedLeafs) > 1 {
-		r.g.recordSecondRequest(r.route, call, why)
-	}
+	r.recordSent(call, why)
 	return true
 }
 
