--- a/pkg/gateway/singlehandoff.go
+++ b/pkg/gateway/singlehandoff.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
 
@@ -21,24 +22,27 @@
 		return g.runSingle(ctx, req, route, deadline)
 	}
 	g.recordHandedOff("request_ended_elsewhere", req, route, a)
+	if a.Code == errcode.CallerDisconnected {
+		a.Code = leftCallerCode(route, true)
+	}
 	return a
 }
 
 // handsOffSingle reports whether the single requests of a route are handed off.
 func (g *Gateway) handsOffSingle(route *routing.Route) bool {
-	o := g.opts.Load().Overload
-	return g.gatherers != nil && o.SingleQueue.For(route.ShortTimeout(o.ShortTimeoutTargets)) && g.table.OwnZoneAllowed(route.Name)
+	return g.gatherers != nil && g.queuesSingle(route) && g.table.OwnZoneAllowed(route.Name)
 }
 
 // RunSingle runs a request that goes to one leaf for another instance of the zone. granted and ok
 // are as for Gather.
 //
 // ctx ends when the caller has disconnected or the other instance is lost. A repeatable request is
-// then cancelled. An at-most-once request is completed and stays in flight until it has ended, so
-// that a stopping instance waits for it.
+// then cancelled, and an at-most-once request that waits is dropped unrun. One that was sent to a
+// leaf is completed and stays in flight until it has ended, so that a stopping instance waits for it.
 func (g *Gateway) RunSingle(ctx context.Context, req *Request, version int64, granted func() bool) (a Answer, ok bool) {
 	return g.runForPeer(req, version, granted, isSingle, func(route *routing.Route) Answer {
 		if route.Kind == routing.AtMostOnce {
+			req.abandoned = ctx.Done()
 			ctx = context.WithoutCancel(ctx)
 		}
 		return g.runSingle(ctx, req, route, g.deadline(req, route))
--- a/pkg/gateway/singlequeued.go
+++ b/pkg/gateway/singlequeued.go
@@ -160,11 +160,7 @@
 	if err != nil {
 		return false
 	}
-	r.triedLeafs = append(r.triedLeafs, call.Leaf.ID)
-	r.inFlight++
-	if len(r.triedLeafs) > 1 {
-		r.g.recordSecondRequest(r.route, call, why)
-	}
+	r.recordSent(call, why)
 	return true
 }
 
@@ -191,15 +187,43 @@
 				return r.timeoutAnswer()
 			}
 			return r.leaveAtDeadline()
+		case <-r.abandonedWhileWaiting():
+			return r.callerLeftAnswer()
 		case <-r.callerCtx.Done():
-			if r.waiting {
-				r.leave()
-			}
-			return r.g.callerDisconnected(r.req, r.route)
+			return r.callerLeftAnswer()
 		}
 	}
 }
 
+// callerLeftAnswer ends a request whose caller has left. A waiting attempt is dropped unrun.
+func (r *queuedRun) callerLeftAnswer() Answer {
+	if r.waiting {
+		r.leave()
+	}
+	a := r.g.callerDisconnected(r.req, r.route)
+	a.Code = leftCallerCode(r.route, r.mayHaveRun || r.inFlight > 0)
+	return a
+}
+
+// leftCallerCode returns the result code of a request whose caller has left. A caller that only
+// closed its sending direction still reads the answer, and net/http reports it as having left:
+// CallerDisconnected would state that an at-most-once request did not run.
+func leftCallerCode(route *routing.Route, mayHaveRun bool) errcode.Code {
+	if mayHaveRun && route.Kind == routing.AtMostOnce {
+		return errcode.OutcomeUnknown
+	}
+	return errcode.CallerDisconnected
+}
+
+// abandonedWhileWaiting returns Request.abandoned while an attempt waits, nil otherwise. Sending the
+// request to a leaf would take a place from one whose caller still waits.
+func (r *queuedRun) abandonedWhileWaiting() <-chan struct{} {
+	if !r.waiting {
+		return nil
+	}
+	return r.req.abandoned
+}
+
 // handleReply processes one reply, and returns the answer or submits a further attempt.
 func (r *queuedRun) handleReply(reply LeafReply) (Answer, bool) {
 	if r.recordReply(reply) {
--- a/pkg/gateway/singlequeued_test.go
+++ b/pkg/gateway/singlequeued_test.go
@@ -18,7 +18,7 @@
 )
 
 // queuedTarget is the target latency of the routes of newQueuedGateway: requests wait for at most
-// 0.24 of it.
+// leafqueue.MaxWait of it.
 const queuedTarget = time.Second
 
 // newQueuedGateway returns a gateway whose routes "one" (repeatable) and "hold" (at most once) to the
@@ -278,7 +278,7 @@
 	for i, code := range codes {
 		seen[code]++
 		require.LessOrEqual(t, ran[fmt.Sprint(i)], 1)
-		if code.NotRun() && code != errcode.CallerDisconnected {
+		if code.NotRun() {
 			require.Zero(t, ran[fmt.Sprint(i)], "%s", code)
 		}
 	}
