priority: don't prefer callers that retry at once

Cause: a query whose caller retried some milliseconds after its refusal was admitted by rank like one that had waited, with an overdraft of 2 admissions. The design says that such a caller is treated as a new one; the queue for single requests did so, the admission by rank did not.

Change: claimReturn returns a priority.Caller, with EarlyCaller for a retry before any promise can be due on a route with planned returns. It has no overdraft and, like other returns, accrues no credit while refused callers are expected back. Routes without planned returns are unaffected.

Ruled out: treating it as NewCaller would let each retry accrue credit and raise the admitted share above its setting; never accruing credit for it would starve callers whose timeouts differ by a few milliseconds.

--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -7,6 +7,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/fanout"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+	"github.com/indigoyoke/indigoyoke/pkg/priority"
 	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
@@ -59,8 +60,8 @@
 		return g.refuseQuarantined(req, route, admission.RetryAfter)
 	}
 	trial := admission.Verdict == quarantine.Suspect
-	returning, promised := g.claimReturn(req, route)
-	if refused := g.admitByRank(req, route, returning, promised); refused != nil {
+	caller := g.claimReturn(req, route)
+	if refused := g.admitByRank(req, route, caller); refused != nil {
 		if trial {
 			g.recordTrial(req, quarantine.Unsent)
 		}
@@ -68,7 +69,7 @@
 	}
 	query := fanout.New(g.table, route, g.opts.Load().Fanout, fanout.Params{
 		Start: req.latencyStart(route.TargetLatency), Deadline: deadline,
-		CallerRetried: returning, Returns: g.returnTerms(req, route),
+		CallerRetried: caller != priority.NewCaller, Returns: g.returnTerms(req, route),
 		NoHedging: g.priorities.Reduced(route.Name), MeasuredShare: g.priorities.MeasuredShare(route.Name),
 		Suspect: trial, SuspectService: admission.Service,
 	})
--- a/pkg/gateway/priority.go
+++ b/pkg/gateway/priority.go
@@ -36,14 +36,7 @@
 
 // admitByRank returns the refusal of a query if it must not run in favour of more urgent ones, and
 // nil otherwise.
-func (g *Gateway) admitByRank(req *Request, route *routing.Route, returning, promised bool) *Answer {
-	caller := priority.NewCaller
-	switch {
-	case promised:
-		caller = priority.PromisedCaller
-	case returning:
-		caller = priority.ReturningCaller
-	}
+func (g *Gateway) admitByRank(req *Request, route *routing.Route, caller priority.Caller) *Answer {
 	d := g.priorities.Admit(route.Name, caller, time.Now())
 	if !d.Controlled {
 		return nil
--- a/pkg/gateway/returns.go
+++ b/pkg/gateway/returns.go
@@ -7,6 +7,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/fanout"
 	"github.com/indigoyoke/indigoyoke/pkg/leafqueue"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+	"github.com/indigoyoke/indigoyoke/pkg/priority"
 	"github.com/indigoyoke/indigoyoke/pkg/returns"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
@@ -46,19 +47,32 @@
 	return o.Returns.For(route.ShortTimeout(o.ShortTimeoutTargets))
 }
 
-// claimReturn reports whether the caller of a request was refused before and is retrying, and
-// whether capacity was promised to it. It must be called once for each request.
-func (g *Gateway) claimReturn(req *Request, route *routing.Route) (returning, promised bool) {
+// claimReturn returns whether the caller of a request was refused before and is retrying, and uses up
+// a promise if one is due to it. It must be called once for each request.
+func (g *Gateway) claimReturn(req *Request, route *routing.Route) priority.Caller {
 	reduction := g.callerTimeouts.reduction(route.Name, req.Timeout)
-	returning = reduction >= timeoutResolution
-	if !g.returnsPlanned(route) {
-		return returning, false
+	returning := reduction >= timeoutResolution
+	if g.returnsPlanned(route) {
+		g.claimPromise(req, route, reduction)
+	}
+	switch {
+	case req.plan.claimed:
+		return priority.PromisedCaller
+	case !returning:
+		return priority.NewCaller
+	case req.plan.planned && !req.plan.waited:
+		return priority.EarlyCaller
 	}
+	return priority.ReturningCaller
+}
+
+// claimPromise plans the return of a request's caller, whose first attempt was sinceFirst ago; zero:
+// this is the first.
+func (g *Gateway) claimPromise(req *Request, route *routing.Route, sinceFirst time.Duration) {
 	now := time.Now()
-	req.plan = returnPlan{planned: true, returning: returning, waited: returns.MayClaim(reduction)}
+	req.plan = returnPlan{planned: true, returning: sinceFirst >= timeoutResolution, waited: returns.MayClaim(sinceFirst)}
 	req.plan.claimed = req.plan.waited && g.returns.Claim(route.Name, now)
 	req.plan.keptFree = !req.plan.claimed && g.returns.Due(route.Name, now)
-	return returning, req.plan.claimed
 }
 
 // returnTerms returns how planned returns affect a query, after claimReturn.
--- a/pkg/gateway/returns_test.go
+++ b/pkg/gateway/returns_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/fanout"
+	"github.com/indigoyoke/indigoyoke/pkg/priority"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
 )
@@ -48,11 +49,9 @@
 		planned bool
 	}{{Auto, shortRoute, true}, {Auto, longRoute, false}, {On, longRoute, true}, {Off, shortRoute, false}} {
 		g := newReturnsGateway(t, tc.mode)
-		_, _ = g.claimReturn(callerWith(tc.route.Timeout), tc.route)
+		g.claimReturn(callerWith(tc.route.Timeout), tc.route)
 		first := callerWith(tc.route.Timeout)
-		returning, promised := g.claimReturn(first, tc.route)
-		require.False(t, returning)
-		require.False(t, promised)
+		require.Equal(t, priority.NewCaller, g.claimReturn(first, tc.route))
 		require.Equal(t, tc.planned, g.returnTerms(first, tc.route) != fanout.ReturnTerms{})
 		hint := g.plannedRetryAfter(first, tc.route, fanout.OverloadRetryAfter)
 		fields := first.logFields("r", map[string]any{})
@@ -74,35 +73,52 @@
 func TestReturningCallerClaimsOnePromise(t *testing.T) {
 	g := newReturnsGateway(t, Auto)
 	for range 10 { // The usual timeout must be known.
-		_, _ = g.claimReturn(callerWith(shortRoute.Timeout), shortRoute)
+		g.claimReturn(callerWith(shortRoute.Timeout), shortRoute)
 	}
 	first := callerWith(shortRoute.Timeout)
-	_, _ = g.claimReturn(first, shortRoute)
+	g.claimReturn(first, shortRoute)
 	hint := g.plannedRetryAfter(first, shortRoute, time.Second)
 	early := callerWith(shortRoute.Timeout - 10*time.Millisecond)
-	returning, promised := g.claimReturn(early, shortRoute)
-	require.True(t, returning)
-	require.False(t, promised, "its time has not come")
+	require.Equal(t, priority.EarlyCaller, g.claimReturn(early, shortRoute), "its time has not come")
 	remaining := g.plannedRetryAfter(early, shortRoute, time.Second)
 	require.InDelta(t, 1.185, remaining.Seconds(), 0.02, "it is told that no capacity will come")
 
 	time.Sleep(hint)
 	third := callerWith(shortRoute.Timeout)
-	_, promised = g.claimReturn(third, shortRoute)
-	require.False(t, promised, "new callers claim nothing")
+	require.Equal(t, priority.NewCaller, g.claimReturn(third, shortRoute), "new callers claim nothing")
 	require.True(t, g.returnTerms(third, shortRoute).KeepFree)
 	back := callerWith(shortRoute.Timeout - hint)
-	returning, promised = g.claimReturn(back, shortRoute)
-	require.True(t, returning)
-	require.True(t, promised)
+	require.Equal(t, priority.PromisedCaller, g.claimReturn(back, shortRoute))
 	terms := g.returnTerms(back, shortRoute)
 	require.True(t, terms.Promised)
 	require.LessOrEqual(t, terms.MaxHold, shortRoute.TargetLatency/4)
-	_, promised = g.claimReturn(callerWith(shortRoute.Timeout-hint), shortRoute)
-	require.False(t, promised, "one promise serves one caller")
+	require.Equal(t, priority.ReturningCaller, g.claimReturn(callerWith(shortRoute.Timeout-hint), shortRoute), "one promise serves one caller")
 	require.EqualValues(t, 1, g.Returns().Counts().Made.Load())
 }
 
+// Guards against a query whose caller retries at once and is admitted by rank like one that waited, and
+// against changed treatment of retries where returns are not planned.
+func TestCallerForAdmissionByRank(t *testing.T) {
+	for _, tc := range []struct {
+		mode    Mode
+		elapsed time.Duration
+		want    priority.Caller
+	}{
+		{Auto, 0, priority.NewCaller},
+		{Auto, 10 * time.Millisecond, priority.EarlyCaller},
+		{Auto, 200 * time.Millisecond, priority.ReturningCaller},
+		{Off, 0, priority.NewCaller},
+		{Off, 10 * time.Millisecond, priority.ReturningCaller},
+		{Off, 200 * time.Millisecond, priority.ReturningCaller},
+	} {
+		g := newReturnsGateway(t, tc.mode)
+		for range 10 {
+			g.claimReturn(callerWith(shortRoute.Timeout), shortRoute)
+		}
+		require.Equal(t, tc.want, g.claimReturn(callerWith(shortRoute.Timeout-tc.elapsed), shortRoute), "mode %v, after %v", tc.mode, tc.elapsed)
+	}
+}
+
 // Guards against refusals of queries that do not use the planned hint, and against hints of planned
 // returns for shards that are unreachable.
 func TestOverloadedQueryIsRefusedWithPlannedReturn(t *testing.T) {
--- a/pkg/gateway/singlequeued.go
+++ b/pkg/gateway/singlequeued.go
@@ -7,6 +7,7 @@
 
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/leafqueue"
+	"github.com/indigoyoke/indigoyoke/pkg/priority"
 	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
@@ -50,11 +51,8 @@
 // isPreferredReturn reports whether the caller returns after a refusal and is preferred to new
 // callers. Where returns are planned, a caller that retries at once is not.
 func (g *Gateway) isPreferredReturn(req *Request, route *routing.Route) bool {
-	returning, promised := g.claimReturn(req, route)
-	if req.plan.planned {
-		return promised || returning && req.plan.waited
-	}
-	return returning
+	caller := g.claimReturn(req, route)
+	return caller == priority.ReturningCaller || caller == priority.PromisedCaller
 }
 
 // queueTarget returns the target latency of a route. A route without one that goes through the
--- a/pkg/priority/controller.go
+++ b/pkg/priority/controller.go
@@ -45,6 +45,9 @@
 	ReturningCaller
 	// PromisedCaller is retrying at a time for which capacity was promised to it.
 	PromisedCaller
+	// EarlyCaller is retrying before the time that it was told to wait for. It is not preferred to new
+	// callers, and accrues no credit as long as refused callers are expected back.
+	EarlyCaller
 )
 
 // Decision says whether a query is admitted. If it is not, the other fields say why.
--- a/pkg/priority/group.go
+++ b/pkg/priority/group.go
@@ -38,7 +38,7 @@
 // overdrafts holds the credit that a query may use beyond what has accrued, by caller. It makes the
 // admission of returning callers independent of the moment of their arrival, and is small enough
 // that new callers wait for a few arrivals only.
-var overdrafts = [...]float64{NewCaller: 0, ReturningCaller: 2, PromisedCaller: 8}
+var overdrafts = [...]float64{NewCaller: 0, ReturningCaller: 2, PromisedCaller: 8, EarlyCaller: 0}
 
 // initialCredit is the credit of a route that begins to be reduced: a new query is then as likely to be
 // admitted first as to be refused first.
--- a/pkg/priority/rule_test.go
+++ b/pkg/priority/rule_test.go
@@ -219,6 +219,23 @@
 	}
 }
 
+// Guards against callers that retry at once and are admitted before those that waited, and against
+// retries that raise the admitted share.
+func TestEarlyReturnsHaveNoPrecedence(t *testing.T) {
+	h := newHarness(defaults(), twoRanks()...)
+	h.run(5*time.Second, missed, "urgent", "other")
+	const n = 1000
+	admitted := 0
+	for range n {
+		if h.Admit("other", NewCaller, h.now).Admitted {
+			admitted++
+			continue
+		}
+		require.False(t, h.Admit("other", EarlyCaller, h.now).Admitted, "no capacity has become free since the refusal")
+	}
+	require.InDelta(t, 0.3*n, admitted, 5)
+}
+
 // Guards against a minimum share that depends on whether refused callers return: they must be
 // counted once.
 func TestReturnsAreNotCountedTwice(t *testing.T) {
