gateway: register the share gauges also after a reload of the settings

Cause: gateway_rank_admitted_share was registered with each configuration only. After a reload that turned overload.priorities on, the ranks had no gauge until the next configuration.

Change: SetOptions registers the gauges too. Registering one twice has no effect.

Result: TestReloadRegistersShares fails before the change and passes with it.

--- a/pkg/gateway/config.go
+++ b/pkg/gateway/config.go
@@ -12,6 +12,7 @@
 func (g *Gateway) SetOptions(opts Options) {
 	g.opts.Store(&opts)
 	g.priorities.SetOptions(priorityOptions(opts))
+	g.stats.registerShares(g.priorities)
 }
 
 // SetConfig applies a configuration unless its version is not newer than the current one, and
--- a/pkg/gateway/priority_test.go
+++ b/pkg/gateway/priority_test.go
@@ -141,6 +141,22 @@
 	}
 }
 
+// Guards against admitted shares without a metric after a reload of the settings has turned the
+// admission by rank on.
+func TestReloadRegistersShares(t *testing.T) {
+	g, _, _ := newRankedGateway(t, 3, 1, answered)
+	shares := func() string {
+		var metrics bytes.Buffer
+		g.stats.set.WritePrometheus(&metrics)
+		return metrics.String()
+	}
+	require.NotContains(t, shares(), "gateway_rank_admitted_share")
+	opts := *g.opts.Load()
+	opts.Overload.Priorities = On
+	g.SetOptions(opts)
+	require.Contains(t, shares(), `gateway_rank_admitted_share{rank="2"} 1`)
+}
+
 // Guards against hedged requests of a reduced rank, which use the budget that the urgent rank needs,
 // and against the loss of its retries after failures.
 func TestReducedRankSendsNoHedgedRequests(t *testing.T) {
