gateway: remove isRetry, and recognize a held query by its state

Cause: isRetry was used by a test only. Whether a query was reported to the admission by rank as held depended on its waiting time being above zero on the clock, while the report at its end depends on WasHeld; on a coarse clock such a query would have been reported by neither.

Change: the test uses reduction, as the code does; gather uses WasHeld.

No behaviour changes on a clock of nanoseconds.

--- a/pkg/gateway/callertimeouts.go
+++ b/pkg/gateway/callertimeouts.go
@@ -43,12 +43,6 @@
 	return &callerTimeouts{routes: make(map[string]*routeTimeouts)}
 }
 
-// isRetry records the timeout of one caller, and reports whether it is shorter than the usual
-// one of the route. A zero timeout means that the caller stated none.
-func (t *callerTimeouts) isRetry(route string, timeout time.Duration) bool {
-	return t.reduction(route, timeout) >= timeoutResolution
-}
-
 // reduction records the timeout of one caller, and returns by how much it is shorter than the usual
 // one of the route: the time since the caller's first attempt. It is 0 for a first attempt.
 func (t *callerTimeouts) reduction(route string, timeout time.Duration) time.Duration {
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -94,7 +94,7 @@
 	if g.opts.Load().CancelLosingCalls {
 		run.cancelShardCalls = make([]context.CancelFunc, len(route.Shards))
 	}
-	if query.HeldFor(time.Now()) > 0 {
+	if query.WasHeld() {
 		g.recordOverload(route)
 		g.log.Decision("query_held", req.logFields(route.Name, oplog.Fields{"config_version": g.version()}))
 	}
