gateway: shorten gather

Change: newGatherRun builds the state, and refuseGather reports the overload to the admission by rank next to the code that it belongs to.

--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -78,22 +78,12 @@
 		if trial {
 			g.recordTrial(req, quarantine.Unsent)
 		}
-		if refusal.Overloaded {
-			g.recordOverload(route)
-		}
 		a := g.refuseGather(req, route, refusal)
 		a.Shards = fillMissingReasons(query, make([]ShardAnswer, len(route.Shards)))
 		return a
 	}
-	callCtx, cancelCalls := context.WithCancel(context.WithoutCancel(ctx))
-	run := &gatherRun{
-		g: g, callerCtx: ctx, callCtx: callCtx, cancelCalls: cancelCalls, req: req, route: route, query: query, isTrial: trial,
-		replies: make(chan []shardReply, len(route.Shards)*fanout.MaxRequestsPerShard),
-		shards:  make([]ShardAnswer, len(route.Shards)),
-	}
-	if g.opts.Load().CancelLosingCalls {
-		run.cancelShardCalls = make([]context.CancelFunc, len(route.Shards))
-	}
+	run := newGatherRun(ctx, g, req, route, query)
+	run.isTrial = trial
 	if query.WasHeld() {
 		g.recordOverload(route)
 		g.log.Decision("query_held", req.logFields(route.Name, oplog.Fields{"config_version": g.version()}))
@@ -108,6 +98,20 @@
 	return a
 }
 
+// newGatherRun returns the state of a query that is admitted or held.
+func newGatherRun(ctx context.Context, g *Gateway, req *Request, route *routing.Route, query *fanout.Query) *gatherRun {
+	callCtx, cancelCalls := context.WithCancel(context.WithoutCancel(ctx))
+	run := &gatherRun{
+		g: g, callerCtx: ctx, callCtx: callCtx, cancelCalls: cancelCalls, req: req, route: route, query: query,
+		replies: make(chan []shardReply, len(route.Shards)*fanout.MaxRequestsPerShard),
+		shards:  make([]ShardAnswer, len(route.Shards)),
+	}
+	if g.opts.Load().CancelLosingCalls {
+		run.cancelShardCalls = make([]context.CancelFunc, len(route.Shards))
+	}
+	return run
+}
+
 // endTrial records the result of a trial that ended without an outcome of its leaf call.
 func (r *gatherRun) endTrial() {
 	switch {
@@ -123,6 +127,7 @@
 func (g *Gateway) refuseGather(req *Request, route *routing.Route, r *fanout.Refusal) Answer {
 	code, retryAfter := errcode.ShardsUnavailable, r.RetryAfter
 	if r.Overloaded {
+		g.recordOverload(route)
 		code, retryAfter = errcode.ShardsOverloaded, g.plannedRetryAfter(req, route, r.RetryAfter)
 	}
 	g.stats.refused(code)
