--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -7,6 +7,7 @@
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
 	"github.com/indigoyoke/indigoyoke/pkg/fanout"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
+	"github.com/indigoyoke/indigoyoke/pkg/priority"
 	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
 	"github.com/indigoyoke/indigoyoke/pkg/routing"
@@ -66,37 +67,27 @@
 		return g.refuseQuarantined(req, route, admission.RetryAfter)
 	}
 	trial := admission.Verdict == quarantine.Suspect
-	returning, promised := g.claimReturn(req, route)
-	if refused := g.admitByRank(req, route, returning, promised); refused != nil {
+	caller := g.claimReturn(req, route)
+	if refused := g.admitByRank(req, route, caller); refused != nil {
 		g.recordUnsent(req, trial)
 		return *refused
 	}
 	query := fanout.New(g.table, route, g.opts.Load().Fanout, fanout.Params{
 		Start: req.latencyStart(route.TargetLatency), Deadline: deadline,
-		CallerRetried: returning, Returns: g.returnTerms(req, route),
+		CallerRetried: caller != priority.NewCaller, Returns: g.returnTerms(req, route),
 		NoHedging: g.priorities.Reduced(route.Name), MeasuredShare: g.priorities.MeasuredShare(route.Name),
 		Suspect: trial, SuspectService: admission.Service,
 	})
 	sends, refusal := query.Start(time.Now())
 	if refusal != nil {
 		g.recordUnsent(req, trial)
-		if refusal.Overloaded {
-			g.recordOverload(route)
-		}
 		a := g.refuseGather(req, route, refusal)
 		a.Shards = fillMissingReasons(query, make([]ShardAnswer, len(route.Shards)))
 		return a
 	}
-	callCtx, cancelCalls := context.WithCancel(context.WithoutCancel(ctx))
-	run := &gatherRun{
-		g: g, callerCtx: ctx, callCtx: callCtx, cancelCalls: cancelCalls, req: req, route: route, query: query, isTrial: trial,
-		replies: make(chan []shardReply, len(route.Shards)*fanout.MaxRequestsPerShard),
-		shards:  make([]ShardAnswer, len(route.Shards)),
-	}
-	if g.opts.Load().CancelLosingCalls {
-		run.cancelShardCalls = make([]context.CancelFunc, len(route.Shards))
-	}
-	if query.HeldFor(time.Now()) > 0 {
+	run := newGatherRun(ctx, g, req, route, query)
+	run.isTrial = trial
+	if query.WasHeld() {
 		g.recordOverload(route)
 		g.log.Decision("query_held", req.logFields(route.Name, oplog.Fields{"config_version": g.version()}))
 	}
@@ -110,6 +101,20 @@
 	return a
 }
 
+// newGatherRun returns the state of a query that is admitted or held.
+func newGatherRun(ctx context.Context, g *Gateway, req *Request, route *routing.Route, query *fanout.Query) *gatherRun {
+	callCtx, cancelCalls := context.WithCancel(context.WithoutCancel(ctx))
+	run := &gatherRun{
+		g: g, callerCtx: ctx, callCtx: callCtx, cancelCalls: cancelCalls, req: req, route: route, query: query,
+		replies: make(chan []shardReply, len(route.Shards)*fanout.MaxRequestsPerShard),
+		shards:  make([]ShardAnswer, len(route.Shards)),
+	}
+	if g.opts.Load().CancelLosingCalls {
+		run.cancelShardCalls = make([]context.CancelFunc, len(route.Shards))
+	}
+	return run
+}
+
 // endTrial records the result of a trial that ended without an outcome of its leaf call.
 func (r *gatherRun) endTrial() {
 	switch {
@@ -125,6 +130,7 @@
 func (g *Gateway) refuseGather(req *Request, route *routing.Route, r *fanout.Refusal) Answer {
 	code, retryAfter := errcode.ShardsUnavailable, r.RetryAfter
 	if r.Overloaded {
+		g.recordOverload(route)
 		code, retryAfter = errcode.ShardsOverloaded, g.plannedRetryAfter(req, route, r.RetryAfter)
 	}
 	g.stats.refused(code)
