--- a/pkg/node/reload.go
+++ b/pkg/node/reload.go
@@ -52,5 +52,8 @@
 	n.gateway.SetOptions(gatewayOptions(set))
 	n.front.Backlog().SetLimit(int64(set.Limits.MaxHeldBytes))
 	n.gateway.Quarantine().SetMaxDuration(settings.Duration(set.Limits.MaxQuarantineMs), time.Now())
-	n.log.State("reloaded", oplog.Fields{"why": reason, "needs_restart": needsRestart})
+	n.log.State("reloaded", oplog.Fields{
+		"why": reason, "needs_restart": needsRestart,
+		"priorities": set.Overload.Priorities, "single_queue": set.Overload.SingleQueue, "returns": set.Overload.Returns,
+	})
 }
