--- a/pkg/fanout/promised.go
+++ b/pkg/fanout/promised.go
@@ -25,7 +25,7 @@
 // startProbability returns the minimum probability of success at which the query is admitted when
 // it arrives.
 //
-// A promised query is admitted unless too many leafs are late: promises are made at a quarter of the
+// A promised query is admitted unless too many leafs are late: promises are made at a fraction of the
 // rate of admissions, which bounds such queries better than the estimate. While a promised caller is
 // due, a query without a promise needs the probability that lets a held one start: then another query
 // would succeed as well.
