--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -182,6 +182,8 @@
 	stats          *Stats
 	callerTimeouts *callerTimeouts
 	returns        *returns.Book
+	// started is when the gateway was created.
+	started time.Time
 	// quarantine tracks requests that crash leafs.
 	quarantine *quarantine.Table
 	priorities *priority.Controller
@@ -211,7 +213,7 @@
 	g := &Gateway{
 		table: table, leafs: leafs, log: log, stats: stats,
 		splitter: routing.NewSplitter(), callerTimeouts: newCallerTimeouts(), returns: returns.NewBook(), priorities: priority.New(priorityOptions(opts)),
-		quarantine: quarantine.NewTable(), pool: pool, configured: make(chan struct{}),
+		started: time.Now(), quarantine: quarantine.NewTable(), pool: pool, configured: make(chan struct{}),
 		evacuations: evacuations{since: make(map[string]time.Time)},
 	}
 	g.opts.Store(&opts)
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -54,9 +54,9 @@
 }
 
 // recordUnsent records that a query was refused before it was sent, if it would have been a trial.
-func (g *Gateway) recordUnsent(req *Request, trial bool) {
+func (g *Gateway) recordUnsent(req *Request, route *routing.Route, trial bool) {
 	if trial {
-		g.recordTrial(req, quarantine.Unsent)
+		g.recordTrial(req, route, quarantine.Unsent, "refused before it was sent")
 	}
 }
 
@@ -69,7 +69,7 @@
 	trial := admission.Verdict == quarantine.Suspect
 	caller := g.claimReturn(req, route)
 	if refused := g.admitByRank(req, route, caller); refused != nil {
-		g.recordUnsent(req, trial)
+		g.recordUnsent(req, route, trial)
 		return *refused
 	}
 	query := fanout.New(g.table, route, g.opts.Load().Fanout, fanout.Params{
@@ -80,7 +80,7 @@
 	})
 	sends, refusal := query.Start(time.Now())
 	if refusal != nil {
-		g.recordUnsent(req, trial)
+		g.recordUnsent(req, route, trial)
 		a := g.refuseGather(req, route, refusal)
 		a.Shards = fillMissingReasons(query, make([]ShardAnswer, len(route.Shards)))
 		return a
@@ -92,7 +92,7 @@
 		g.log.Decision("query_held", req.logFields(route.Name, oplog.Fields{"config_version": g.version()}))
 	}
 	if trial {
-		g.logTrial(req, route, admission)
+		g.logTrial(req, route, admission, deadline)
 	}
 	run.sendAdmitted(sends)
 	a := run.wait()
@@ -120,9 +120,9 @@
 	switch {
 	case !r.isTrial || !r.query.InTrial():
 	case r.query.InFlight():
-		r.g.recordTrial(r.req, quarantine.Unresolved)
+		r.g.recordTrial(r.req, r.route, quarantine.Unresolved, "none")
 	case !r.query.MayHaveRun():
-		r.g.recordTrial(r.req, quarantine.Unsent)
+		r.g.recordTrial(r.req, r.route, quarantine.Unsent, "none")
 	}
 }
 
@@ -253,7 +253,7 @@
 		}
 	}
 	if r.query.InTrial() {
-		r.g.recordTrial(r.req, trialResult(a.reply.Outcome))
+		r.g.recordTrial(r.req, r.route, trialResult(a.reply.Outcome), a.reply.Outcome.String())
 	}
 	r.send(r.query.HandleReply(a.shard, a.attempt, a.reply.Outcome, time.Now()))
 }
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -36,9 +36,16 @@
 	g.logVerdictChange(req.ID, g.quarantine.RecordLeafCrash(req.Key, req.ID, call.Leaf.ID, call.Service, tracked.StartTime(), now))
 }
 
-// recordTrial records the result of the trial of a suspect.
-func (g *Gateway) recordTrial(req *Request, trial quarantine.TrialOutcome) {
-	g.logVerdictChange(req.ID, g.quarantine.RecordTrial(req.Key, trial, time.Now()))
+// recordTrial records the result of the trial of a suspect. reply is the outcome of its leaf call,
+// or the reason for which there is none.
+func (g *Gateway) recordTrial(req *Request, route *routing.Route, trial quarantine.TrialOutcome, reply string) {
+	change := g.quarantine.RecordTrial(req.Key, trial, time.Now())
+	g.stats.trialEnded(trial)
+	g.log.Decision("request_trial_ended", req.logFields(route.Name, oplog.Fields{
+		"result": trial.String(), "reply": reply, "after_ms": time.Since(req.Arrived).Milliseconds(),
+		"verdict": change.To.String(), "trials": change.Trials, "quarantined_ms": change.QuarantinedFor.Milliseconds(),
+	}))
+	g.logVerdictChange(req.ID, change)
 }
 
 // trialResult returns the result of a trial from the outcome of its single leaf call.
@@ -58,9 +65,12 @@
 	return quarantine.Unresolved
 }
 
-// logTrial logs that a request is tried at one leaf.
-func (g *Gateway) logTrial(req *Request, route *routing.Route, admission quarantine.Admission) {
-	g.log.Decision("request_trial", req.logFields(route.Name, oplog.Fields{"service": admission.Service, "config_version": g.version()}))
+// logTrial logs that a request is tried at one leaf, which may take until the deadline.
+func (g *Gateway) logTrial(req *Request, route *routing.Route, admission quarantine.Admission, deadline time.Time) {
+	g.log.Decision("request_trial", req.logFields(route.Name, oplog.Fields{
+		"service": admission.Service, "deadline_ms": time.Until(deadline).Milliseconds(), "up_ms": time.Since(g.started).Milliseconds(),
+		"config_version": g.version(),
+	}))
 }
 
 // logVerdictChange logs a change of the quarantine verdict on a request.
--- a/pkg/gateway/single.go
+++ b/pkg/gateway/single.go
@@ -58,7 +58,7 @@
 	run.trialPending = admission.Verdict == quarantine.Suspect
 	defer run.endTrial()
 	if run.trialPending {
-		g.logTrial(req, route, admission)
+		g.logTrial(req, route, admission, deadline)
 	}
 	g.table.CountRequest(service, time.Now())
 	if !run.send("first") {
@@ -177,7 +177,7 @@
 	r.lastReply = reply
 	if r.trialPending {
 		r.trialPending = false
-		r.g.recordTrial(r.req, trialResult(reply.Outcome))
+		r.g.recordTrial(r.req, r.route, trialResult(reply.Outcome), reply.Outcome.String())
 	}
 	if reply.Outcome == replica.Answered {
 		return true
@@ -203,9 +203,9 @@
 	switch {
 	case !r.trialPending:
 	case len(r.triedLeafs) == 0:
-		r.g.recordTrial(r.req, quarantine.Unsent)
+		r.g.recordTrial(r.req, r.route, quarantine.Unsent, "none")
 	default:
-		r.g.recordTrial(r.req, quarantine.Unresolved)
+		r.g.recordTrial(r.req, r.route, quarantine.Unresolved, "none")
 	}
 }
 
--- a/pkg/gateway/singlequeued.go
+++ b/pkg/gateway/singlequeued.go
@@ -126,7 +126,7 @@
 	}
 	if admission.Verdict == quarantine.Suspect {
 		r.trialPending = true
-		r.g.logTrial(r.req, r.route, admission)
+		r.g.logTrial(r.req, r.route, admission, r.deadline)
 	}
 	if !r.sendTo(attempt.Lease, r.why) {
 		r.giveUp(&attempt.Lease)
--- a/pkg/gateway/stats.go
+++ b/pkg/gateway/stats.go
@@ -36,6 +36,11 @@
 	gauge("gateway_requests_cleared", func() float64 { return float64(counts.Cleared.Load()) })
 }
 
+// trialEnded counts a trial by its result.
+func (s *Stats) trialEnded(result quarantine.TrialOutcome) {
+	s.set.GetOrCreateCounter(fmt.Sprintf(`gateway_trials_ended_total{result=%q}`, result.String())).Inc()
+}
+
 // registerReturns registers the gauges of the planned returns.
 func (s *Stats) registerReturns(counts *returns.Counts) {
 	gauge := func(name string, count *atomic.Int64) {
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -190,6 +190,11 @@
 	Unresolved
 )
 
+// String returns the name of the outcome in logs and metrics.
+func (o TrialOutcome) String() string {
+	return [...]string{"unsent", "answered", "crashed", "unresolved"}[o]
+}
+
 // RecordTrial records the outcome of the trial of a suspected request, and returns the resulting
 // change of its verdict.
 func (t *Table) RecordTrial(k Key, trial TrialOutcome, now time.Time) VerdictChange {
