--- a/pkg/fanout/trial_test.go
+++ b/pkg/fanout/trial_test.go
@@ -118,3 +118,18 @@
 	require.Len(t, requests, 1)
 	require.Equal(t, 0, requests[0].Shard)
 }
+
+// Guards against trials that end without a result. The trial's leaf was given the time until the
+// target latency; a request that runs for longer before it crashes the leaf was cut off each time and
+// tried again.
+func TestTrialIsGivenTheTimeUntilTheDeadline(t *testing.T) {
+	q := tenShardQuery(Params{Suspect: true, SuspectService: "s3"})
+	requests, refusal := q.Start(epoch)
+	require.Nil(t, refusal)
+	require.Len(t, requests, 1)
+	require.Equal(t, at(3000), requests[0].Deadline)
+	require.Equal(t, Running, q.State(at(2900)))
+	remaining := q.HandleReply(3, 0, replica.Answered, at(20))
+	require.Len(t, remaining, 9)
+	require.Equal(t, at(200), remaining[0].Deadline, "the other shards are asked as usual")
+}
--- a/pkg/peers/quarantine_test.go
+++ b/pkg/peers/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -64,6 +65,27 @@
 	becomes(quarantine.Quarantined)
 }
 
+// Guards against an instance that serves callers for a second after its start without knowing which
+// requests crash leafs. The answer to its first message held no reports; they came with later gossip,
+// a few in each message.
+func TestStartedInstanceLearnsQuarantineFromFirstAnswer(t *testing.T) {
+	for _, kind := range []membership.Kind{membership.Join, membership.Ping} {
+		old, started := newAgent(t, "n1"), newAgent(t, "n2")
+		keys := make([]quarantine.Key, 20)
+		now := time.Now()
+		for i := range keys {
+			keys[i] = quarantine.KeyOf("deadly", strconv.Itoa(i))
+			old.quarantine.Merge(quarantine.Report{Key: keys[i], CrashIDs: []uint64{1, 2, 3}, RemainingMs: 60000}, now)
+		}
+		go old.receive()
+		go started.receive()
+		started.sendPacket(old.self.Addr, packet{Message: membership.Message{Kind: kind, From: started.self}})
+		require.Eventually(t, func() bool {
+			return started.quarantine.Count(quarantine.Quarantined, now) == len(keys)
+		}, 10*time.Second, time.Millisecond)
+	}
+}
+
 // newAgent returns an agent on a loopback port that shares a quarantine table and is not running.
 func newAgent(t *testing.T, name string) *Peers {
 	udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -257,3 +257,36 @@
 	}
 	require.Equal(t, 100*sendsPerReport, reports)
 }
+
+// Guards against a request that is tried every five seconds, at another instance each time. A trial
+// without a result was counted by the instance that made it, so each instance began with the
+// shortest pause.
+func TestUnresolvedTrialsBackOffAcrossInstances(t *testing.T) {
+	tables := make([]*Table, 8)
+	first, k := tableWithSuspect()
+	tables[0] = first
+	for i := range tables[1:] {
+		tables[i+1] = NewTable()
+		for _, report := range first.AntiEntropyReports(4, at(time.Second)) {
+			tables[i+1].Merge(report, at(time.Second))
+		}
+	}
+	trials := 0
+	for now := at(time.Second); now.Before(at(61 * time.Second)); now = now.Add(100 * time.Millisecond) {
+		table := tables[int(now.Sub(epoch)/(100*time.Millisecond))%len(tables)]
+		if table.Admit(k, now).Verdict != Suspect {
+			continue
+		}
+		trials++
+		table.RecordTrial(k, Unresolved, now)
+		for _, other := range tables {
+			if other == table {
+				continue
+			}
+			for _, report := range table.AntiEntropyReports(4, now) {
+				other.Merge(report, now)
+			}
+		}
+	}
+	require.LessOrEqual(t, trials, 3, "trials in a minute")
+}
