fanout: give the leaf of a trial the time until the caller's deadline

Callers saw 502 every 5 to 10 s for a request that crashes leafs, and each time a leaf had run it once more. A trial without a result has to be repeated, so it now has the time until the caller's deadline.

--- a/pkg/fanout/progress.go
+++ b/pkg/fanout/progress.go
@@ -41,7 +41,8 @@
 // quarter second.
 func (q *Query) requestDeadline(now time.Time) time.Time {
 	end := q.deadline
-	if !q.hasTarget() {
+	if !q.hasTarget() || q.inTrial {
+		// A trial must not end without a result: it would have to be repeated.
 		return end
 	}
 	useful := q.start.Add(time.Duration(q.opts.RequestDeadlineFactor * float64(q.route.TargetLatency)))
