One instance at a time tries a request that may crash leafs

Callers and leafs: a request under which three leafs had crashed crashed three to five more within 70 ms, ten seconds later. A quarantine ends at all instances in the same millisecond, and all its callers were told that moment. No line shows two trials at one instance, and reports took 1 ms, so neither lost datagrams nor a restart were the cause.

An instance now sends the others a claim before it tries a request, and waits 50 ms for claims that cross its own; the lowest ID wins, the other callers are refused unrun. Both copies of a report are sent within that time: the second one 20 ms after the first instead of with the next tick of 100 ms. A claim is in force until the caller's deadline at most, so that one whose instance is killed does not block the next trial for long, and its end is announced; a late copy does not revive it. While a request is tried at a service, no other one is: the crash of the leaf would be held against both. A trial that is sent to a second leaf because the first did not receive it stays claimed.

Alternatives: one instance chosen by hash for each request (a caller must reach that one, so sound requests stay refused in large fleets), a majority of grants (a new exchange of messages for both transports; a claim that is lost costs one leaf).

The simulated fleet now returns its callers at the moment that they were told, overlaps runs of up to 85 ms, and goes through claims; bound unchanged.

--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -44,8 +44,8 @@
 	// shards holds the results of the shards so far, in the route's order.
 	shards []ShardAnswer
 	// isTrial reports that the query is suspected of crashing leafs and is first sent to
-	// a single leaf.
-	isTrial bool
+	// a single leaf, trialPending that this trial has no result yet.
+	isTrial, trialPending bool
 	// admitted reports that the query was admitted: it has sent a request.
 	admitted bool
 	// cancelShardCalls holds a function for each shard that cancels its open calls; nil if
@@ -62,7 +62,7 @@
 
 // gather runs a query over all shards of its route.
 func (g *Gateway) gather(ctx context.Context, req *Request, route *routing.Route, deadline time.Time) Answer {
-	admission := g.quarantine.Admit(req.Key, time.Now())
+	admission := g.admit(ctx, req, route, deadline)
 	if admission.Verdict == quarantine.Quarantined {
 		return g.refuseQuarantined(req, route, admission.RetryAfter)
 	}
@@ -86,7 +86,7 @@
 		return a
 	}
 	run := newGatherRun(ctx, g, req, route, query)
-	run.isTrial = trial
+	run.isTrial, run.trialPending = trial, trial
 	if query.WasHeld() {
 		g.recordOverload(route)
 		g.log.Decision("query_held", req.logFields(route.Name, oplog.Fields{"config_version": g.version()}))
@@ -118,10 +118,10 @@
 // endTrial records the result of a trial that ended without an outcome of its leaf call.
 func (r *gatherRun) endTrial() {
 	switch {
-	case !r.isTrial || !r.query.InTrial():
+	case !r.trialPending:
 	case r.query.InFlight():
 		r.g.recordTrial(r.req, r.route, quarantine.Unresolved, "none")
-	case !r.query.MayHaveRun():
+	default:
 		r.g.recordTrial(r.req, r.route, quarantine.Unsent, "none")
 	}
 }
@@ -252,10 +252,12 @@
 			r.cancelShardCalls[a.shard]()
 		}
 	}
-	if r.query.InTrial() {
+	next := r.query.HandleReply(a.shard, a.attempt, a.reply.Outcome, time.Now())
+	if triesAgain := r.query.InTrial() && r.query.InFlight(); r.trialPending && !triesAgain {
+		r.trialPending = false
 		r.g.recordTrial(r.req, r.route, trialResult(a.reply.Outcome), a.reply.Outcome.String())
 	}
-	r.send(r.query.HandleReply(a.shard, a.attempt, a.reply.Outcome, time.Now()))
+	r.send(next)
 }
 
 // answer returns the answer of a query that has ended.
--- a/pkg/gateway/quarantine.go
+++ b/pkg/gateway/quarantine.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/indigoyoke/indigoyoke/pkg/errcode"
@@ -30,6 +31,33 @@
 	return a
 }
 
+// admit decides how a request that is about to be sent to leafs may be sent. A suspect waits until its
+// claim to the trial has settled, and is refused if another instance tries the request.
+func (g *Gateway) admit(ctx context.Context, req *Request, route *routing.Route, deadline time.Time) quarantine.Admission {
+	admission := g.quarantine.Admit(req.Key, time.Now())
+	if admission.Verdict != quarantine.Suspect {
+		return admission
+	}
+	settled := time.NewTimer(admission.SettleTime)
+	defer settled.Stop()
+	select {
+	case <-settled.C:
+	case <-ctx.Done():
+		g.recordTrial(req, route, quarantine.Unsent, "caller left")
+		return quarantine.Admission{Verdict: quarantine.Quarantined}
+	}
+	now := time.Now()
+	if g.quarantine.ConfirmTrial(req.Key, admission.ClaimID, deadline, now) {
+		return admission
+	}
+	g.stats.claimLost()
+	g.log.Decision("request_trial_claimed_elsewhere", req.logFields(route.Name, oplog.Fields{
+		"verdict": g.quarantine.Verdict(req.Key, now).String(),
+	}))
+	retryAfter := max(g.quarantine.Remaining(req.Key, now), quarantine.TrialRetryAfter)
+	return quarantine.Admission{Verdict: quarantine.Quarantined, RetryAfter: retryAfter}
+}
+
 // recordLeafCrash records that a leaf crashed while it had a request.
 func (g *Gateway) recordLeafCrash(call LeafCall, tracked *replica.Call, now time.Time) {
 	req := call.Request
--- a/pkg/gateway/single.go
+++ b/pkg/gateway/single.go
@@ -49,7 +49,7 @@
 	if g.queuesSingle(route) {
 		return g.runQueued(ctx, req, route, service, deadline)
 	}
-	admission := g.quarantine.Admit(req.Key, time.Now())
+	admission := g.admit(ctx, req, route, deadline)
 	if admission.Verdict == quarantine.Quarantined {
 		return g.refuseQuarantined(req, route, admission.RetryAfter)
 	}
--- a/pkg/gateway/singlequeued.go
+++ b/pkg/gateway/singlequeued.go
@@ -119,7 +119,7 @@
 		}
 		return Answer{}, false
 	}
-	admission := r.g.quarantine.Admit(r.req.Key, now)
+	admission := r.g.admit(r.callerCtx, r.req, r.route, r.deadline)
 	if admission.Verdict == quarantine.Quarantined {
 		r.giveUp(&attempt.Lease)
 		return r.g.refuseQuarantined(r.req, r.route, admission.RetryAfter), true
--- a/pkg/gateway/stats.go
+++ b/pkg/gateway/stats.go
@@ -41,6 +41,9 @@
 	s.set.GetOrCreateCounter(fmt.Sprintf(`gateway_trials_ended_total{result=%q}`, result.String())).Inc()
 }
 
+// claimLost counts a trial that was not made because another instance claimed it.
+func (s *Stats) claimLost() { s.set.GetOrCreateCounter(`gateway_trial_claims_lost_total`).Inc() }
+
 // registerReturns registers the gauges of the planned returns.
 func (s *Stats) registerReturns(counts *returns.Counts) {
 	gauge := func(name string, count *atomic.Int64) {
--- a/pkg/peers/gossip.go
+++ b/pkg/peers/gossip.go
@@ -93,26 +93,10 @@
 	}
 }
 
-// shareQuarantine sends changes of the quarantine table to all members until Close is called: at
-// once, and a second time on resend, because datagrams are lost.
-//
-// The changes once waited for the next tick of the membership, up to 100 ms. Callers retry sooner
-// than that: each instance in turn sent the request to leafs of all its shards or tried it at one,
-// and the log showed request_trial at one instance milliseconds after request_quarantined at
-// another.
-func (p *Peers) shareQuarantine(resend <-chan time.Time) {
-	pacer := quarantine.NewReportPacer(p.quarantine)
-	for {
-		select {
-		case <-p.quarantine.Changed():
-		case <-resend:
-		case <-p.done:
-			return
-		}
-		if reports := pacer.Due(maxReportsPerMessage, time.Now()); len(reports) > 0 {
-			p.broadcastQuarantine(reports)
-		}
-	}
+// shareQuarantine sends changes of the quarantine table to all members until Close is called, each a
+// second time after repeatDelay.
+func (p *Peers) shareQuarantine(repeatDelay time.Duration) {
+	quarantine.NewReportPacer(p.quarantine).Run(p.done, repeatDelay, maxReportsPerMessage, p.broadcastQuarantine)
 }
 
 // broadcastQuarantine sends reports to all members.
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -121,15 +121,16 @@
 
 // EnableQuarantineSharing makes the agent exchange with its peers the requests in table that make
 // leafs crash. It must be called before Run.
-func (p *Peers) EnableQuarantineSharing(table *quarantine.Table) { p.quarantine = table }
+func (p *Peers) EnableQuarantineSharing(table *quarantine.Table) {
+	table.EnableSharing()
+	p.quarantine = table
+}
 
 // Run maintains the membership and the connections until Close is called.
 func (p *Peers) Run() {
 	go p.receive()
 	if p.quarantine != nil {
-		resend := time.NewTicker(quarantine.ResendInterval)
-		defer resend.Stop()
-		go p.shareQuarantine(resend.C)
+		go p.shareQuarantine(quarantine.RepeatDelay)
 	}
 	started := time.Now()
 	ticker := time.NewTicker(startupTickInterval)
--- a/pkg/peers/quarantine_test.go
+++ b/pkg/peers/quarantine_test.go
@@ -53,7 +53,7 @@
 	sender, receiver := newAgent(t, "n1"), newAgent(t, "n2")
 	sender.members.Receive(membership.Message{Kind: membership.Gossip, From: receiver.self}, time.Now())
 	go receiver.receive()
-	go sender.shareQuarantine(nil)
+	go sender.shareQuarantine(time.Hour)
 	k := quarantine.KeyOf("deadly")
 	sender.quarantine.RecordLeafCrash(k, "a1", "l1", "s1", time.Now(), time.Now())
 	sender.quarantine.RecordLeafCrash(k, "a1", "l2", "s2", time.Now(), time.Now())
--- a/pkg/quarantine/fleetsim_test.go
+++ b/pkg/quarantine/fleetsim_test.go
@@ -13,17 +13,17 @@
 // The simulated fleet consists of instances that exchange reports as real ones do, over a network
 // that loses, delays and duplicates datagrams and is partitioned at times.
 const (
-	simStep = 10 * time.Millisecond
-	// simReportInterval is the interval at which changes are sent to all instances.
+	simStep = 5 * time.Millisecond
 	// simAntiEntropyInterval is the interval at which each instance exchanges a membership
 	// message with one other.
-	simReportInterval      = 100 * time.Millisecond
 	simAntiEntropyInterval = time.Second
 	// simConvergenceTime is how long an instance must have been running and connected to the
 	// others before its requests count as retries.
 	simConvergenceTime = 4 * time.Second
 	simLossRate        = 0.2
-	simDuration        = 90 * time.Second
+	// simMaxDelay is the maximum delay of a datagram.
+	simMaxDelay = 20 * time.Millisecond
+	simDuration = 90 * time.Second
 	// simShards and simReplicas give the number of leafs. A request goes to one leaf of each of
 	// its shards.
 	simShards, simReplicas = 20, 2
@@ -48,6 +48,14 @@
 	leafs []int
 }
 
+// simClaim is the claim of an instance to a trial that is confirmed at a time.
+type simClaim struct {
+	instance  int
+	confirmAt time.Time
+	id        uint64
+	crashing  bool
+}
+
 // sim is the state of one simulation run of simDuration, which the test's messages call a day.
 type sim struct {
 	t       *testing.T
@@ -55,6 +63,13 @@
 	now     time.Time
 	tables  []*Table
 	started []time.Time
+	// repeatAt is when each instance sends its queued changes again.
+	repeatAt []time.Time
+	// shards is the number of shards of the requests.
+	shards int
+	claims []simClaim
+	// returns are the times at which callers of the crashing request come back.
+	returns []time.Time
 	// partitionedUntil is the time at which the network partition ends. The first partitionSize
 	// instances are on one side of it.
 	partitionedUntil time.Time
@@ -78,13 +93,22 @@
 func newSim(t *testing.T, seed uint64) *sim {
 	rng := rand.New(rand.NewPCG(seed, 1))
 	s := &sim{t: t, rng: rng, now: epoch}
-	for range 3 + rng.IntN(20) {
-		s.tables = append(s.tables, NewTable())
-		s.started = append(s.started, epoch.Add(-time.Hour))
+	n := 3 + rng.IntN(20)
+	s.tables, s.repeatAt = make([]*Table, n), make([]time.Time, n)
+	s.started = slices.Repeat([]time.Time{epoch.Add(-time.Hour)}, n)
+	for i := range n {
+		s.tables[i] = newSharingTable()
 	}
 	return s
 }
 
+// newSharingTable returns the table of an instance that exchanges reports with others.
+func newSharingTable() *Table {
+	table := NewTable()
+	table.EnableSharing()
+	return table
+}
+
 // partitioned reports whether two instances are on different sides of a network partition.
 func (s *sim) partitioned(a, b int) bool {
 	return s.now.Before(s.partitionedUntil) && (a < s.partitionSize) != (b < s.partitionSize)
@@ -97,16 +121,30 @@
 	for range 1 + s.rng.IntN(2)*s.rng.IntN(2) {
 		if s.rng.Float64() >= simLossRate {
 			s.inTransit = append(s.inTransit, datagram{
-				to: to, arrival: s.now.Add(time.Duration(s.rng.IntN(60)) * time.Millisecond), reports: reports,
+				to: to, arrival: s.now.Add(time.Duration(s.rng.Int64N(int64(simMaxDelay)))), reports: reports,
 			})
 		}
 	}
 }
 
+// changesDue reports whether an instance sends its queued changes now: at once, and again after
+// RepeatDelay.
+func (s *sim) changesDue(i int) bool {
+	select {
+	case <-s.tables[i].Changed():
+	default:
+		if s.now.Before(s.repeatAt[i]) {
+			return false
+		}
+	}
+	s.repeatAt[i] = s.now.Add(RepeatDelay)
+	return true
+}
+
 // gossip makes instances exchange reports.
 func (s *sim) gossip(elapsed time.Duration) {
 	for i, table := range s.tables {
-		if elapsed%simReportInterval == 0 {
+		if s.changesDue(i) {
 			reports := table.PendingReports(12, s.now)
 			for j := range s.tables {
 				if j != i {
@@ -137,22 +175,64 @@
 	return s.now.Sub(s.started[i]) > simConvergenceTime && s.now.Sub(s.partitionedUntil) > simConvergenceTime
 }
 
-// submit sends one attempt of a request through an instance.
-func (s *sim) submit(i int, k Key, crashing bool, leafs int) {
-	admission := s.tables[i].Admit(k, s.now)
-	if admission.Verdict == Quarantined {
-		if !crashing {
-			s.refused++
-		}
-		return
+// requestKey returns the key of the crashing or of the harmless request.
+func requestKey(crashing bool) Key {
+	if crashing {
+		return key(0)
+	}
+	return key(1)
+}
+
+// submit submits one attempt of a request through an instance.
+func (s *sim) submit(i int, crashing bool) {
+	admission := s.tables[i].Admit(requestKey(crashing), s.now)
+	switch admission.Verdict {
+	case Quarantined:
+		s.refuse(crashing, admission.RetryAfter)
+	case Suspect:
+		s.claims = append(s.claims, simClaim{instance: i, confirmAt: s.now.Add(admission.SettleTime), id: admission.ClaimID, crashing: crashing})
+	case Sound:
+		s.sendToLeafs(i, crashing, false)
 	}
-	trial := admission.Verdict == Suspect
-	first := 0
+}
+
+// refuse refuses an attempt. Most callers of the crashing request come back when they may.
+func (s *sim) refuse(crashing bool, retryAfter time.Duration) {
+	switch {
+	case !crashing:
+		s.refused++
+	case s.rng.IntN(4) > 0 && len(s.returns) < 40:
+		s.returns = append(s.returns, s.now.Add(retryAfter))
+	}
+}
+
+// confirmClaims tries the requests whose claims have settled.
+func (s *sim) confirmClaims() {
+	s.claims = slices.DeleteFunc(s.claims, func(c simClaim) bool {
+		if c.confirmAt.After(s.now) {
+			return false
+		}
+		if s.started[c.instance].After(c.confirmAt.Add(-claimSettleTime)) {
+			return true // The instance was restarted.
+		}
+		if s.tables[c.instance].ConfirmTrial(requestKey(c.crashing), c.id, s.now.Add(time.Second), s.now) {
+			s.sendToLeafs(c.instance, c.crashing, true)
+		} else {
+			s.refuse(c.crashing, TrialRetryAfter)
+		}
+		return true
+	})
+}
+
+// sendToLeafs sends one attempt to a leaf of each shard, or of one if it is a trial.
+func (s *sim) sendToLeafs(i int, crashing, trial bool) {
+	first, last := 0, s.shards
 	if trial {
-		first, leafs = s.rng.IntN(leafs), 1
+		first = s.rng.IntN(s.shards)
+		last = first + 1
 	}
 	var at []int
-	for shard := first; shard < first+leafs; shard++ {
+	for shard := first; shard < last; shard++ {
 		at = append(at, shard*simReplicas+s.rng.IntN(simReplicas))
 	}
 	s.attempts++
@@ -161,7 +241,7 @@
 	}
 	s.inFlight = append(s.inFlight, simRequest{
 		instance: i, began: s.now,
-		doneAt:   s.now.Add(time.Duration(5+s.rng.IntN(40)) * time.Millisecond),
+		doneAt:   s.now.Add(time.Duration(5+s.rng.IntN(80)) * time.Millisecond),
 		crashing: crashing, trial: trial, leafs: at, attempt: s.attempts,
 	})
 }
@@ -218,13 +298,16 @@
 	}
 }
 
+// restart replaces an instance by one that has to learn what the others know.
+func (s *sim) restart(i int) {
+	s.tables[i], s.started[i] = newSharingTable(), s.now
+}
+
 // injectFaults restarts instances and partitions the network at random.
 func (s *sim) injectFaults() {
-	switch s.rng.IntN(1500) {
+	switch s.rng.IntN(3000) {
 	case 0:
-		i := s.rng.IntN(len(s.tables))
-		s.tables[i] = NewTable()
-		s.started[i] = s.now
+		s.restart(s.rng.IntN(len(s.tables)))
 	case 1:
 		if s.now.After(s.partitionedUntil) {
 			s.partitionSize = 1 + s.rng.IntN(len(s.tables))
@@ -234,21 +317,36 @@
 }
 
 // run simulates simDuration, in which a crashing request arrives every few tenths of a second at
-// random instances, beside a harmless request at the same rate.
+// random instances, beside a harmless request at the same rate. Its refused callers come back.
 func (s *sim) run() {
-	crashing, harmless := key(0), key(1)
-	shards := 1 + s.rng.IntN(20)
+	s.shards = 1 + s.rng.IntN(20)
 	for elapsed := time.Duration(0); elapsed < simDuration; elapsed += simStep {
 		s.now = epoch.Add(elapsed)
 		s.injectFaults()
 		s.gossip(elapsed)
-		s.completeDue(crashing, harmless)
-		if s.rng.IntN(30) == 0 {
-			s.submit(s.rng.IntN(len(s.tables)), crashing, true, shards)
+		s.confirmClaims()
+		s.completeDue(requestKey(true), requestKey(false))
+		for _, crashing := range []bool{true, false} {
+			if s.rng.IntN(60) == 0 {
+				s.submit(s.rng.IntN(len(s.tables)), crashing)
+			}
 		}
-		if s.rng.IntN(30) == 0 {
-			s.submit(s.rng.IntN(len(s.tables)), harmless, false, shards)
+		s.submitReturns()
+	}
+}
+
+// submitReturns submits the attempts of the callers that come back now.
+func (s *sim) submitReturns() {
+	due := 0
+	s.returns = slices.DeleteFunc(s.returns, func(at time.Time) bool {
+		if at.After(s.now) {
+			return false
 		}
+		due++
+		return true
+	})
+	for range due {
+		s.submit(s.rng.IntN(len(s.tables)), true)
 	}
 }
 
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -37,11 +37,6 @@
 	maxCrashIDs = 4
 	// sweepInterval is the interval at which expired records are removed.
 	sweepInterval = 10 * time.Second
-	// trialTimeout is the maximum duration of a trial. It is longer than callers wait.
-	trialTimeout = 30 * time.Second
-	// trialRetryAfter is the delay after which callers should retry while the same request is
-	// being tried.
-	trialRetryAfter = 250 * time.Millisecond
 )
 
 // quarantineDurations are the durations of the quarantine after the first, the second and any
@@ -78,9 +73,8 @@
 	trials, unresolved int
 	// quarantinedUntil is the end of the quarantine; zero means that there was none.
 	quarantinedUntil time.Time
-	// trialUntil is the time at which the current trial of this instance times out; zero means
-	// that there is no trial.
-	trialUntil time.Time
+	// claim is the last known claim to a trial.
+	claim trialClaim
 }
 
 func (r *record) verdict(now time.Time) Verdict {
--- a/pkg/quarantine/reports.go
+++ b/pkg/quarantine/reports.go
@@ -6,8 +6,6 @@
 	"maps"
 	"slices"
 	"time"
-
-	"golang.org/x/time/rate"
 )
 
 // Report is what instances tell each other about a request. Times are sent as ages and durations,
@@ -26,6 +24,10 @@
 	RemainingMs uint32 `cbor:"6,keyasint,omitempty" json:"left_ms,omitempty"`
 	// Cleared means that a leaf answered the request AgeMs ago.
 	Cleared bool `cbor:"7,keyasint,omitempty" json:"cleared,omitempty"`
+	// ClaimID identifies the last claim to a trial. ClaimRemainingMs is the time left until that
+	// trial ends at the latest; zero means that it has ended.
+	ClaimID          uint64 `cbor:"9,keyasint,omitempty" json:"claim,omitempty"`
+	ClaimRemainingMs uint32 `cbor:"10,keyasint,omitempty" json:"claim_left_ms,omitempty"`
 }
 
 // pendingReport is a change that is still to be sent to other instances.
@@ -48,17 +50,6 @@
 	maxServiceBytes = 128
 )
 
-const (
-	// ResendInterval is the interval at which queued changes are sent again. It is also the mean
-	// interval between messages with changes: while many leafs crash, each instance sends every
-	// other one ten of them per second.
-	ResendInterval = 100 * time.Millisecond
-	// ReportBurst is the number of messages with changes that may be sent in quick succession. A
-	// request that crashes leafs causes about five changes at one instance: three crashes, a
-	// trial's crash and the quarantine.
-	ReportBurst = 10
-)
-
 // queueReport queues a change for the other instances. The caller must hold mu.
 func (t *Table) queueReport(k Key, cleared bool, now time.Time) {
 	t.pending = slices.DeleteFunc(t.pending, func(p pendingReport) bool { return p.key == k })
@@ -75,32 +66,6 @@
 	}
 }
 
-// Changed returns a channel that receives a value when a change was queued for the other
-// instances. It must be sent at once: a caller retries within milliseconds at another instance,
-// and each instance that does not know of the crashes sends the request to further leafs. Several
-// changes may cause one value. The channel has one receiver.
-func (t *Table) Changed() <-chan struct{} { return t.changed }
-
-// ReportPacer limits the rate of messages with changes. It is used by one goroutine.
-type ReportPacer struct {
-	table *Table
-	limit *rate.Limiter
-}
-
-// NewReportPacer returns a pacer for the changes of a table.
-func NewReportPacer(t *Table) *ReportPacer {
-	return &ReportPacer{table: t, limit: rate.NewLimiter(rate.Every(ResendInterval), ReportBurst)}
-}
-
-// Due returns up to n changes to send now: none if none is queued, or if too many messages were
-// sent recently. Changes that are held back are returned by a later call.
-func (p *ReportPacer) Due(n int, now time.Time) []Report {
-	if !p.table.hasPending() || !p.limit.AllowN(now, 1) {
-		return nil
-	}
-	return p.table.PendingReports(n, now)
-}
-
 // hasPending reports whether changes are queued.
 func (t *Table) hasPending() bool {
 	t.mu.Lock()
@@ -153,6 +118,7 @@
 		Key: k, CrashIDs: slices.Clone(r.crashIDs), Service: r.service[:min(len(r.service), maxServiceBytes)],
 		AgeMs:  millis(now.Sub(r.lastCrash)),
 		Trials: uint8(min(r.trials, len(quarantineDurations))), RemainingMs: millis(r.quarantinedUntil.Sub(now)),
+		ClaimID: r.claim.id, ClaimRemainingMs: millis(r.claim.until.Sub(now)),
 	}
 }
 
@@ -201,7 +167,13 @@
 		return t.verdictChange(report.Key, from, now)
 	}
 	left := min(time.Duration(report.RemainingMs)*time.Millisecond, t.maxDuration)
-	t.record(report.Key, now).merge(report, eventAt, now.Add(left))
+	r := t.record(report.Key, now)
+	r.merge(report, eventAt, now.Add(left))
+	var claimedUntil time.Time
+	if report.ClaimRemainingMs > 0 {
+		claimedUntil = now.Add(min(time.Duration(report.ClaimRemainingMs)*time.Millisecond, maxTrialDuration))
+	}
+	r.claim.merge(report.ClaimID, claimedUntil, now)
 	return t.verdictChange(report.Key, from, now)
 }
 
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -30,6 +30,9 @@
 	lastSweep time.Time
 	// maxDuration is the maximum duration of a quarantine.
 	maxDuration time.Duration
+	// settleTime is how long a claim waits for competing ones; zero if there are no other
+	// instances.
+	settleTime time.Duration
 	// recordCount is the number of records. It is almost always 0 and is read without the lock.
 	recordCount atomic.Int64
 	// cursor is the key at which the next call of AntiEntropyReports starts.
@@ -65,6 +68,10 @@
 	}
 }
 
+// EnableSharing makes trials wait for the claims of other instances. It must be called before the
+// table is used, by the code that exchanges reports with them.
+func (t *Table) EnableSharing() { t.settleTime = claimSettleTime }
+
 // Counts returns the counters.
 func (t *Table) Counts() *Counts { return &t.counts }
 
@@ -121,39 +128,6 @@
 	return r.quarantinedUntil.Sub(now)
 }
 
-// Admission says how a request may be sent.
-type Admission struct {
-	// Verdict is Suspect if the request must be tried at one leaf, preferably one of Service.
-	// RecordTrial must then be called with the outcome. Verdict is Quarantined also while another
-	// attempt of the request is being tried.
-	Verdict Verdict
-	Service string
-	// RetryAfter is the delay after which a quarantined request may be sent again.
-	RetryAfter time.Duration
-}
-
-// Admit decides how a request that is about to be sent to leafs may be sent.
-func (t *Table) Admit(k Key, now time.Time) Admission {
-	if t.recordCount.Load() == 0 {
-		return Admission{}
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.records[k]
-	switch r.verdict(now) {
-	case Quarantined:
-		return Admission{Verdict: Quarantined, RetryAfter: r.quarantinedUntil.Sub(now)}
-	case Suspect:
-		if now.Before(r.trialUntil) {
-			return Admission{Verdict: Quarantined, RetryAfter: trialRetryAfter}
-		}
-		t.counts.Trials.Add(1)
-		r.trialUntil = now.Add(trialTimeout)
-		return Admission{Verdict: Suspect, Service: r.service}
-	}
-	return Admission{}
-}
-
 // RecordLeafCrash records that a leaf of a service crashed while it had an attempt of a request
 // that was sent to it at began. If the leaf had several attempts of the request when it crashed,
 // they count once.
@@ -176,66 +150,6 @@
 	return t.verdictChange(k, from, now)
 }
 
-// TrialOutcome is the outcome of a trial.
-type TrialOutcome int
-
-const (
-	// Unsent means that no leaf received the request.
-	Unsent TrialOutcome = iota
-	// Answered means that a leaf answered the request.
-	Answered
-	// LeafCrashed means that the leaf crashed.
-	LeafCrashed
-	// Unresolved means that the leaf received the request, but neither answered nor crashed.
-	Unresolved
-)
-
-// String returns the name of the outcome in logs and metrics.
-func (o TrialOutcome) String() string {
-	return [...]string{"unsent", "answered", "crashed", "unresolved"}[o]
-}
-
-// RecordTrial records the outcome of the trial of a suspected request, and returns the resulting
-// change of its verdict.
-func (t *Table) RecordTrial(k Key, trial TrialOutcome, now time.Time) VerdictChange {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.records[k]
-	if r == nil {
-		return VerdictChange{}
-	}
-	from := r.verdict(now)
-	r.trialUntil = time.Time{}
-	switch trial {
-	case Unsent:
-		return t.verdictChange(k, from, now)
-	case Answered:
-		t.counts.Cleared.Add(1)
-		t.deleteRecord(k)
-		t.queueReport(k, true, now)
-		return t.verdictChange(k, from, now)
-	case LeafCrashed:
-		r.unresolved = 0
-		r.quarantinedUntil = now.Add(min(t.quarantineDuration(r, now), t.maxDuration))
-		r.trials++
-	case Unresolved:
-		r.quarantinedUntil = now.Add(min(
-			minUnresolvedBackoff<<min(r.unresolved, 16), maxUnresolvedBackoff, t.maxDuration))
-		r.unresolved++
-	}
-	t.queueReport(k, false, now)
-	return t.verdictChange(k, from, now)
-}
-
-// quarantineDuration returns the duration of the quarantine after a trial that crashed a leaf. The
-// caller must hold mu.
-func (t *Table) quarantineDuration(r *record, now time.Time) time.Duration {
-	if t.countLocked(Quarantined, now) >= massQuarantineThreshold {
-		return quarantineDurations[0]
-	}
-	return quarantineDurations[min(r.trials, len(quarantineDurations)-1)]
-}
-
 // record returns the record of a request, which is created on first use. The caller must hold mu.
 func (t *Table) record(k Key, now time.Time) *record {
 	r := t.records[k]
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -38,7 +38,9 @@
 	require.Equal(t, Sound, table.Verdict(k, at(time.Millisecond)), "a single leaf may have ended for another reason")
 	change := table.RecordLeafCrash(k, "r1", "b", "s2", epoch, at(2*time.Millisecond))
 	require.Equal(t, Suspect, change.To)
-	require.Equal(t, Admission{Verdict: Suspect, Service: "s2"}, table.Admit(k, at(time.Second)))
+	admission := table.Admit(k, at(time.Second))
+	require.Equal(t, Suspect, admission.Verdict)
+	require.Equal(t, "s2", admission.Service)
 	require.Equal(t, Quarantined, table.Admit(k, at(time.Second)).Verdict, "only one trial at a time")
 	table.RecordLeafCrash(k, "r2", "c", "s", at(time.Second), at(1010*time.Millisecond))
 	change = table.RecordTrial(k, LeafCrashed, at(1010*time.Millisecond))
@@ -233,7 +235,7 @@
 }
 
 // Guards against changes that wait for a timer before other instances learn of them, and against a
-// message for each of the many crashes after a bad release. The first ten messages are sent at once,
+// message for each of the many crashes after a bad release. The first messages are sent at once,
 // further ones at ten per second, and no change is lost.
 func TestChangesAreSignalledAtOnceAndSentAtLimitedRate(t *testing.T) {
 	table := NewTable()
@@ -251,7 +253,7 @@
 	require.Equal(t, ReportBurst, sent)
 	now := epoch
 	for range 20 {
-		now = now.Add(ResendInterval)
+		now = now.Add(MeanInterval)
 		reports += len(pacer.Due(12, now))
 		require.Empty(t, pacer.Due(12, now), "a second message in the same interval")
 	}
--- a/pkg/relay/quarantine_test.go
+++ b/pkg/relay/quarantine_test.go
@@ -23,7 +23,7 @@
 	r, err := New(o, &memoryStore{}, quarantine.NewTable(), metrics.NewSet(), logrus.NewEntry(log))
 	require.NoError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	r.wg.Go(func() { r.shareQuarantine(ctx, nil) })
+	r.wg.Go(func() { r.shareQuarantine(ctx, time.Hour) })
 	t.Cleanup(func() {
 		cancel()
 		r.wg.Wait()
--- a/pkg/relay/relay.go
+++ b/pkg/relay/relay.go
@@ -96,6 +96,7 @@
 
 // New returns a relay that listens on the address given in the options.
 func New(o Options, store ConfigStore, quarantined *quarantine.Table, set *metrics.Set, log *logrus.Entry) (*Relay, error) {
+	quarantined.EnableSharing()
 	tlsConf, err := tlsConfig(o.Secret)
 	if err != nil {
 		return nil, err
@@ -144,9 +145,7 @@
 // Run answers queries and queries the peers until ctx ends, and then closes the relay.
 func (r *Relay) Run(ctx context.Context) {
 	r.wg.Go(func() { r.acceptConns(ctx) })
-	resend := time.NewTicker(quarantine.ResendInterval)
-	defer resend.Stop()
-	r.wg.Go(func() { r.shareQuarantine(ctx, resend.C) })
+	r.wg.Go(func() { r.shareQuarantine(ctx, quarantine.RepeatDelay) })
 	for ctx.Err() == nil {
 		r.queryNextPeer(ctx)
 		service.Sleep(ctx, r.nextDelay())
@@ -158,25 +157,14 @@
 	_ = r.transport.Conn.Close()
 }
 
-// shareQuarantine sends changes of the quarantine table to all peers until ctx ends: at once,
-// because the caller of a request that crashes leafs may retry at any entry instance within
-// milliseconds, and a second time on resend.
+// shareQuarantine sends changes of the quarantine table to all peers until ctx ends, each a second
+// time after repeatDelay.
 //
 // It does not wait for the peers: an unreachable one would delay the next change for the others
 // by exchangeTimeout.
-func (r *Relay) shareQuarantine(ctx context.Context, resend <-chan time.Time) {
-	pacer := quarantine.NewReportPacer(r.quarantine)
-	for {
-		select {
-		case <-r.quarantine.Changed():
-		case <-resend:
-		case <-ctx.Done():
-			return
-		}
-		if reports := pacer.Due(maxReports, time.Now()); len(reports) > 0 {
-			r.queryAllPeers(ctx, reports)
-		}
-	}
+func (r *Relay) shareQuarantine(ctx context.Context, repeatDelay time.Duration) {
+	send := func(reports []quarantine.Report) { r.queryAllPeers(ctx, reports) }
+	quarantine.NewReportPacer(r.quarantine).Run(ctx.Done(), repeatDelay, maxReports, send)
 }
 
 // queryAllPeers starts a query to every peer that sends it the given reports.
