Count trials without a result over all instances

A trial without a result doubled a pause that began at 5 s, but the count was kept by the instance that made the trial, so that each of the others began at 5 s again, and a crash set it back to zero. The count is now part of the reports, and the pauses are 10 s, a minute and 10 minutes, by the number of all trials that cleared nothing: to the leafs a trial without a result is one more send, which may crash them later than any instance can see.

TestUnresolvedTrialsBackOff expects the new, longer pauses. A third of the trials of the simulated fleet have no result now; bound unchanged.

--- a/pkg/quarantine/fleetsim_test.go
+++ b/pkg/quarantine/fleetsim_test.go
@@ -44,6 +44,8 @@
 	crashing bool
 	attempt  int
 	trial    bool
+	// unresolved reports that the trial ends without a result.
+	unresolved bool
 	// leafs are the leafs that have the request.
 	leafs []int
 }
@@ -243,6 +245,7 @@
 		instance: i, began: s.now,
 		doneAt:   s.now.Add(time.Duration(5+s.rng.IntN(80)) * time.Millisecond),
 		crashing: crashing, trial: trial, leafs: at, attempt: s.attempts,
+		unresolved: crashing && trial && s.rng.IntN(3) == 0,
 	})
 }
 
@@ -259,6 +262,10 @@
 			s.completeHarmless(r, harmless)
 			continue
 		}
+		if r.unresolved {
+			s.tables[r.instance].RecordTrial(crashing, Unresolved, s.now)
+			continue
+		}
 		for _, leaf := range r.leafs {
 			s.incarnations[leaf]++
 			s.crashedAt[leaf] = s.now
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -39,8 +39,8 @@
 	sweepInterval = 10 * time.Second
 )
 
-// quarantineDurations are the durations of the quarantine after the first, the second and any
-// further trial that crashed a leaf. A request whose trial met a leaf that crashed for another
+// quarantineDurations are the durations of the quarantine after a trial that crashed a leaf, if it was
+// the first, the second or any further trial that cleared nothing. A request whose trial met a leaf that crashed for another
 // reason is soon tried again. A request that always crashes its leaf crashes three leafs in a day.
 var quarantineDurations = [...]time.Duration{10 * time.Second, 10 * time.Minute, 24 * time.Hour}
 
@@ -50,13 +50,11 @@
 // duration.
 const massQuarantineThreshold = 16
 
-// A trial whose leaf neither answered nor crashed yields no result: the leaf refused because it was
-// full, or the deadline passed. The next trial is delayed by minUnresolvedBackoff, and by twice
-// as long after each further one, up to maxUnresolvedBackoff.
-const (
-	minUnresolvedBackoff = 5 * time.Second
-	maxUnresolvedBackoff = 10 * time.Minute
-)
+// unresolvedDurations are the durations of the quarantine after a trial whose leaf neither answered
+// nor crashed: it refused because it was full, or the deadline passed. As above, the index is the
+// number of earlier trials that cleared nothing, whatever their outcome: each of them may have
+// crashed a leaf later than this instance could see.
+var unresolvedDurations = [...]time.Duration{10 * time.Second, time.Minute, 10 * time.Minute}
 
 // record is what is known about one request.
 type record struct {
@@ -68,8 +66,8 @@
 	leaf, service string
 	// lastCrash is the time of the last crash.
 	lastCrash time.Time
-	// trials is the number of trials that crashed a leaf. unresolved is the number of
-	// consecutive trials without a result.
+	// trials is the number of trials that crashed a leaf, unresolved the number of those without
+	// a result, over all instances as far as known.
 	trials, unresolved int
 	// quarantinedUntil is the end of the quarantine; zero means that there was none.
 	quarantinedUntil time.Time
--- a/pkg/quarantine/reports.go
+++ b/pkg/quarantine/reports.go
@@ -24,6 +24,8 @@
 	RemainingMs uint32 `cbor:"6,keyasint,omitempty" json:"left_ms,omitempty"`
 	// Cleared means that a leaf answered the request AgeMs ago.
 	Cleared bool `cbor:"7,keyasint,omitempty" json:"cleared,omitempty"`
+	// Unresolved is the number of trials without a result.
+	Unresolved uint8 `cbor:"8,keyasint,omitempty" json:"unresolved,omitempty"`
 	// ClaimID identifies the last claim to a trial. ClaimRemainingMs is the time left until that
 	// trial ends at the latest; zero means that it has ended.
 	ClaimID          uint64 `cbor:"9,keyasint,omitempty" json:"claim,omitempty"`
@@ -118,7 +120,8 @@
 		Key: k, CrashIDs: slices.Clone(r.crashIDs), Service: r.service[:min(len(r.service), maxServiceBytes)],
 		AgeMs:  millis(now.Sub(r.lastCrash)),
 		Trials: uint8(min(r.trials, len(quarantineDurations))), RemainingMs: millis(r.quarantinedUntil.Sub(now)),
-		ClaimID: r.claim.id, ClaimRemainingMs: millis(r.claim.until.Sub(now)),
+		Unresolved: uint8(min(r.unresolved, len(unresolvedDurations))),
+		ClaimID:    r.claim.id, ClaimRemainingMs: millis(r.claim.until.Sub(now)),
 	}
 }
 
@@ -190,5 +193,6 @@
 		r.leaf = ""
 	}
 	r.trials = max(r.trials, min(int(report.Trials), len(quarantineDurations)))
+	r.unresolved = max(r.unresolved, min(int(report.Unresolved), len(unresolvedDurations)))
 	r.quarantinedUntil = later(r.quarantinedUntil, until)
 }
--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -84,7 +84,7 @@
 func TestUnresolvedTrialsBackOff(t *testing.T) {
 	table, k := tableWithSuspect()
 	now := at(time.Second)
-	for _, wait := range []time.Duration{5 * time.Second, 10 * time.Second, 20 * time.Second} {
+	for _, wait := range []time.Duration{10 * time.Second, time.Minute, 10 * time.Minute} {
 		require.Equal(t, Suspect, table.Admit(k, now).Verdict)
 		require.Equal(t, wait, table.RecordTrial(k, Unresolved, now).QuarantinedFor)
 		now = now.Add(wait)
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -161,12 +161,10 @@
 		t.queueReport(k, true, now)
 		return t.verdictChange(k, from, now)
 	case LeafCrashed:
-		r.unresolved = 0
 		r.quarantinedUntil = now.Add(min(t.quarantineDuration(r, now), t.maxDuration))
 		r.trials++
 	case Unresolved:
-		r.quarantinedUntil = now.Add(min(
-			minUnresolvedBackoff<<min(r.unresolved, 16), maxUnresolvedBackoff, t.maxDuration))
+		r.quarantinedUntil = now.Add(min(nth(unresolvedDurations[:], r.trials+r.unresolved), t.maxDuration))
 		r.unresolved++
 	}
 	t.queueReport(k, false, now)
@@ -179,5 +177,8 @@
 	if t.countLocked(Quarantined, now) >= massQuarantineThreshold {
 		return quarantineDurations[0]
 	}
-	return quarantineDurations[min(r.trials, len(quarantineDurations)-1)]
+	return nth(quarantineDurations[:], r.trials+r.unresolved)
 }
+
+// nth returns element n of the durations, the last one if there are fewer.
+func nth(durations []time.Duration, n int) time.Duration { return durations[min(n, len(durations)-1)] }
