peers: tell an instance that is heard from for the first time which requests crash leafs

An instance that had just started sent quarantined requests to leafs: it serves callers as soon as it has a configuration and leafs, and learned of quarantines from reports on the regular membership messages, four at a time, one message a second. The answer to its first message, a member list, held none. Each instance now sends a newly heard one all it knows (96 requests at most), and again when that one restarts or comes back after it was believed dead. An instance begins with the same name and incarnation when it restarts, so messages carry a random ID of the sender's process. Without quarantined requests no message is added.

--- a/pkg/membership/protocol.go
+++ b/pkg/membership/protocol.go
@@ -63,12 +63,15 @@
 	var out []Envelope
 	for _, m := range s.Members() {
 		if m.Usable() {
-			out = append(out, s.envelope(m.Addr, Message{Kind: Gossip}))
+			out = append(out, s.GossipTo(m.Addr))
 		}
 	}
 	return out
 }
 
+// GossipTo returns a Gossip message to an address. The caller attaches the content.
+func (s *State) GossipTo(addr string) Envelope { return s.envelope(addr, Message{Kind: Gossip}) }
+
 // activeCount returns how many other members are alive or suspected.
 func (s *State) activeCount() int {
 	n := 0
--- a/pkg/peers/gossip.go
+++ b/pkg/peers/gossip.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -18,13 +19,24 @@
 	membership.Message
 	// Requests describe requests that make leafs crash.
 	Requests []quarantine.Report `cbor:"20,keyasint,omitempty"`
+	// ProcessID is a random number that identifies the sender's process: an instance that restarts
+	// keeps its name and begins with the same incarnation.
+	ProcessID uint64 `cbor:"21,keyasint,omitempty"`
 }
 
+// introduction identifies the state of an instance that was sent all of the quarantine.
+type introduction struct{ processID, incarnation uint64 }
+
 const (
 	// maxPiggybackedReports is the maximum number of reports on a regular membership message, and
 	// maxReportsPerMessage on one that is sent for the reports. A datagram stays below 1,400 bytes.
 	maxPiggybackedReports = 4
 	maxReportsPerMessage  = 12
+	// maxIntroductoryReports is the maximum number of reports sent to an instance that is heard
+	// from for the first time.
+	maxIntroductoryReports = 8 * maxReportsPerMessage
+	// maxIntroduced is the maximum number of instances that are remembered as heard from.
+	maxIntroduced = 4096
 )
 
 // tickMembership runs the timers of the membership and returns the messages to send.
@@ -69,6 +81,7 @@
 			continue
 		}
 		p.applyQuarantineReports(m.Requests, m.From.Name)
+		p.introduceQuarantine(m.From, m.ProcessID)
 		p.mu.Lock()
 		out := p.members.Receive(m.Message, time.Now())
 		p.logStatusChanges()
@@ -93,6 +106,26 @@
 	}
 }
 
+// introduceQuarantine sends what is known about requests that crash leafs to an instance that is
+// heard from for the first time since it started or was believed dead. It may be serving callers
+// already. It is called by one goroutine.
+func (p *Peers) introduceQuarantine(to membership.Member, processID uint64) {
+	state := introduction{processID: processID, incarnation: to.Incarnation}
+	if known, ok := p.introduced[to.Name]; p.quarantine == nil || ok && known == state {
+		return
+	}
+	if len(p.introduced) >= maxIntroduced {
+		clear(p.introduced)
+	}
+	p.introduced[to.Name] = state
+	for reports := range slices.Chunk(p.quarantine.AntiEntropyReports(maxIntroductoryReports, time.Now()), maxReportsPerMessage) {
+		p.mu.Lock()
+		m := p.members.GossipTo(to.Addr)
+		p.mu.Unlock()
+		p.sendPacket(m.To, packet{Message: m.Message, Requests: reports})
+	}
+}
+
 // shareQuarantine sends changes of the quarantine table to all members until Close is called, each a
 // second time after repeatDelay.
 func (p *Peers) shareQuarantine(repeatDelay time.Duration) {
@@ -123,6 +156,7 @@
 
 // sendPacket sends one datagram.
 func (p *Peers) sendPacket(addr string, m packet) {
+	m.ProcessID = p.processID
 	raw, err := cbor.Marshal(m)
 	if err != nil {
 		p.log.Decision("member_message_failed", oplog.Fields{"error": err.Error()})
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -75,6 +75,10 @@
 	subscriber *feedSubscriber
 	// quarantine holds the requests that make leafs crash; nil disables sharing them.
 	quarantine *quarantine.Table
+	// introduced are the instances that were sent all of quarantine, by name. processID identifies
+	// this process in its messages.
+	introduced map[string]introduction
+	processID  uint64
 	// setBursts receives this instance's share of the burst budget, and setWarmers the
 	// instances that may send requests to cold leafs; nil disables the computation.
 	setBursts  func(replica.BurstLimits)
@@ -100,7 +104,7 @@
 		self: self, codec: codec, log: log, udp: udp,
 		members: membership.New(self, seeds, membership.DefaultOptions(), rng, time.Now()),
 		conns:   make(map[string]*clientConn), dialing: make(map[string]bool), avoidUntil: make(map[string]time.Time),
-		done: make(chan struct{}),
+		introduced: make(map[string]introduction), processID: rng.Uint64(), done: make(chan struct{}),
 	}
 }
 
--- a/pkg/peers/quarantine_test.go
+++ b/pkg/peers/quarantine_test.go
@@ -69,15 +69,15 @@
 // requests crash leafs. The answer to its first message held no reports; they came with later gossip,
 // a few in each message.
 func TestStartedInstanceLearnsQuarantineFromFirstAnswer(t *testing.T) {
-	for _, kind := range []membership.Kind{membership.Join, membership.Ping} {
-		old, started := newAgent(t, "n1"), newAgent(t, "n2")
-		keys := make([]quarantine.Key, 20)
-		now := time.Now()
-		for i := range keys {
-			keys[i] = quarantine.KeyOf("deadly", strconv.Itoa(i))
-			old.quarantine.Merge(quarantine.Report{Key: keys[i], CrashIDs: []uint64{1, 2, 3}, RemainingMs: 60000}, now)
-		}
-		go old.receive()
+	old, now := newAgent(t, "n1"), time.Now()
+	keys := make([]quarantine.Key, 20)
+	for i := range keys {
+		keys[i] = quarantine.KeyOf("deadly", strconv.Itoa(i))
+		old.quarantine.Merge(quarantine.Report{Key: keys[i], CrashIDs: []uint64{1, 2, 3}, RemainingMs: 60000}, now)
+	}
+	go old.receive()
+	for _, kind := range []membership.Kind{membership.Join, membership.Ping, membership.Join} {
+		started := newAgent(t, "n2") // Started again each time.
 		go started.receive()
 		started.sendPacket(old.self.Addr, packet{Message: membership.Message{Kind: kind, From: started.self}})
 		require.Eventually(t, func() bool {
