Probation: a restart of all instances no longer lets a request crash a leaf of each shard

Nothing can be stored outside the instances, so the loss stays; its cost need not.

For limits.probation_ms (10 s) after its start an instance sends a query that no leaf has answered to one leaf, then to two, four and so on, until one answers. A crash under such a request is taken for that of a trial: it is quarantined, for 30 s, as instances that were restarted together may be restarted again. An instance that has received all that a longer running one knows needs no probation: messages state how far back the sender's knowledge reaches if it is all in them. A rolling restart, or the loss of some instances, therefore changes nothing.

Tests of the quarantine of running instances set probation_ms to 1. TestLeafRequestsAreCancelledWhenCallerDisconnects sends its search once before, as an unproven one does not reach all backend servers in 100 ms; it counts only what is received after that.

--- a/pkg/demo/caller_test.go
+++ b/pkg/demo/caller_test.go
@@ -46,12 +46,15 @@
 func TestLeafRequestsAreCancelledWhenCallerDisconnects(t *testing.T) {
 	s := newSession(t, Lipovec)
 	dep := DeploymentName(Lipovec)
-	var before uint64
+	q := wire.SearchRequest{Deployment: dep, Index: "viewer-api", Text: "bolt", TimeoutMs: 2000}
+	// An unproven search would reach the backend servers one after the other.
+	require.Len(t, s.sendSearch("lj-a-entry-1", q).Covered, 4)
+	var before, receivedBefore uint64
 	for _, name := range []string{"lj-a-unit-1", "lj-a-unit-2", "lj-b-unit-1", "lj-b-unit-2"} {
 		s.applyControl(name, backend.Control{Action: backend.ActSlow, DelayMs: 400})
 		before += s.c.Backends[name].Executed()
+		receivedBefore += s.c.Backends[name].Received()
 	}
-	q := wire.SearchRequest{Deployment: dep, Index: "viewer-api", Text: "bolt", TimeoutMs: 2000}
 	ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
 	defer cancel()
 	err := s.sendAndLeave(ctx, s.c.Entries["lj-a-entry-1"].Addr(), entry.PathSearch, "cad-viewer", "cad-viewer-key", q)
@@ -62,7 +65,7 @@
 		executed += b.Executed()
 		received += b.Received()
 	}
-	require.GreaterOrEqual(t, received, uint64(4))
+	require.GreaterOrEqual(t, received-receivedBefore, uint64(4))
 	s.note("the caller left after 100 ms; leaf requests that ran to the end anyway: %d", executed-before)
 	require.Equal(t, before, executed, "leaf requests ran to the end although their caller had disconnected")
 	s.requireGolden("caller-leaves")
--- a/pkg/demo/quarantine_test.go
+++ b/pkg/demo/quarantine_test.go
@@ -30,7 +30,7 @@
 func newCrashSession(t *testing.T) *crashSession {
 	cs := &crashSession{session: newSession(t, Lakeshore, func(l *Layout) {
 		for i := range l.Entries {
-			l.Entries[i].RelayIntervalMs = 50
+			l.Entries[i].RelayIntervalMs, l.Entries[i].ProbationMs = 50, 1
 		}
 	})}
 	for name := range cs.c.Backends {
--- a/pkg/entry/entry.go
+++ b/pkg/entry/entry.go
@@ -90,6 +90,7 @@
 	if e.gateway, err = gateway.New(gatewayOptions(s), e.table, leafs, e.decisions, gateway.NewStats(e.metrics)); err != nil {
 		return nil, err
 	}
+	e.gateway.Quarantine().StartProbation(settings.Duration(s.ProbationMs), time.Now())
 	e.gateway.Quarantine().SetMaxDuration(settings.Duration(s.MaxQuarantineMs), time.Now())
 	if e.platformClient, err = service.NewClient(2, time.Second); err != nil {
 		return nil, err
--- a/pkg/fanout/admission.go
+++ b/pkg/fanout/admission.go
@@ -251,11 +251,20 @@
 // sendFirstRequests sends the first request for every shard that is not excluded.
 func (q *Query) sendFirstRequests(placements []shardPlacement, now time.Time) []Request {
 	requests := make([]Request, 0, len(placements))
+	if q.firstWindow > 0 {
+		// The leaf that is asked first delays all others.
+		slices.SortStableFunc(placements, func(a, b shardPlacement) int {
+			return cmp.Compare(a.placement.ExpectedLatency, b.placement.ExpectedLatency)
+		})
+	}
 	for _, p := range placements {
 		s := &q.shards[p.shard]
 		if s.excluded || s.placeResult != replica.Placed {
 			continue
 		}
+		if !q.mayAskFirst(s, len(requests), now) {
+			continue
+		}
 		requests = q.send(requests, p.shard, p.placement, ReasonFirst, now)
 	}
 	return requests
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -160,6 +160,10 @@
 	startWithTrial, inTrial, givenUp bool
 	suspectService                   string
 	leafsCrashed                     int
+	// firstWindow is the maximum number of shards that are asked before any leaf has answered;
+	// zero means no limit. It is doubled at widenAt.
+	firstWindow int
+	widenAt     time.Time
 	// secondsBeforeReply is the number of second requests that were sent before any leaf answered
 	// and that may have run in addition to the first ones.
 	secondsBeforeReply int
@@ -190,6 +194,8 @@
 	// shard of the last of them.
 	Suspect        bool
 	SuspectService string
+	// Unproven means that it is not known whether requests with the same content crash leafs.
+	Unproven bool
 }
 
 // New returns a query that has sent nothing yet.
@@ -201,6 +207,9 @@
 		shards:         make([]shard, len(route.Shards)),
 		requiredShards: RequiredShards(len(route.Shards), route.MinShardShare),
 	}
+	if params.Unproven {
+		q.firstWindow = 1
+	}
 	q.measuredShards = q.requiredShards
 	if params.MeasuredShare > 0 {
 		q.measuredShards = min(q.requiredShards, RequiredShards(len(route.Shards), params.MeasuredShare))
--- a/pkg/fanout/progress.go
+++ b/pkg/fanout/progress.go
@@ -88,6 +88,10 @@
 	if q.inTrial {
 		return q.handleTrialReply(i, outcome, now)
 	}
+	if outcome == replica.Answered && q.firstWindow > 0 {
+		q.firstWindow = 0
+		return q.askRemaining(now)
+	}
 	if outcome == replica.Answered || s.covered || s.inFlight > 0 || q.givenUp {
 		return nil
 	}
@@ -197,13 +201,16 @@
 		return q.release(now)
 	}
 	var requests []Request
+	q.widenFirstWindow(now)
 	for i := range q.shards {
 		s := &q.shards[i]
 		if s.covered || s.excluded || s.nextCheck.IsZero() || now.Before(s.nextCheck) {
 			continue
 		}
 		if len(s.attempts) == 0 {
-			requests = q.sendFirst(requests, i, now)
+			if q.mayAskFirst(s, q.askedShards(), now) {
+				requests = q.sendFirst(requests, i, now)
+			}
 			continue
 		}
 		requests = q.sendSecond(requests, i, q.secondReason(s, now), now)
--- a/pkg/gateway/gather.go
+++ b/pkg/gateway/gather.go
@@ -76,7 +76,7 @@
 		Start: req.latencyStart(route.TargetLatency), Deadline: deadline,
 		CallerRetried: caller != priority.NewCaller, Returns: g.returnTerms(req, route),
 		NoHedging: g.priorities.Reduced(route.Name), MeasuredShare: g.priorities.MeasuredShare(route.Name),
-		Suspect: trial, SuspectService: admission.Service,
+		Suspect: trial, SuspectService: admission.Service, Unproven: admission.Unproven,
 	})
 	sends, refusal := query.Start(time.Now())
 	if refusal != nil {
--- a/pkg/gateway/leafcall.go
+++ b/pkg/gateway/leafcall.go
@@ -25,7 +25,10 @@
 	g.applyLoad(call, tracked, reply, now)
 	change := g.table.EndWithLatency(tracked, reply.Outcome, took, now)
 	g.stats.leafCall(reply.Outcome, took)
-	if reply.Outcome == replica.LeafCrashed {
+	switch reply.Outcome {
+	case replica.Answered:
+		g.quarantine.RecordAnswered(call.Request.Key, now)
+	case replica.LeafCrashed:
 		g.recordLeafCrash(call, tracked, now)
 	}
 	if reply.Outcome != replica.Answered && reply.Outcome != replica.Abandoned {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -88,6 +88,7 @@
 	if n.gateway, err = gateway.New(gatewayOptions(set), n.table, n.leafs, n.log, gateway.NewStats(n.metrics)); err != nil {
 		return nil, err
 	}
+	n.gateway.Quarantine().StartProbation(settings.Duration(set.Limits.ProbationMs), time.Now())
 	n.gateway.Quarantine().SetMaxDuration(settings.Duration(set.Limits.MaxQuarantineMs), time.Now())
 	n.follower = discovery.NewFollower(adapter.Source(set.Store.Address, n.log), n, storeOptions(set), n.log)
 	gaps := n.metrics.NewHistogram("node_store_proof_gap_seconds")
--- a/pkg/peers/gossip.go
+++ b/pkg/peers/gossip.go
@@ -22,6 +22,9 @@
 	// ProcessID is a random number that identifies the sender's process: an instance that restarts
 	// keeps its name and begins with the same incarnation.
 	ProcessID uint64 `cbor:"21,keyasint,omitempty"`
+	// HistoryMs is how far back the sender's knowledge of such requests reaches, if Requests hold
+	// all of it, and 0 otherwise.
+	HistoryMs uint64 `cbor:"22,keyasint,omitempty"`
 }
 
 // introduction identifies the state of an instance that was sent all of the quarantine.
@@ -35,6 +38,8 @@
 	// maxIntroductoryReports is the maximum number of reports sent to an instance that is heard
 	// from for the first time.
 	maxIntroductoryReports = 8 * maxReportsPerMessage
+	// maxHistoryMs limits the history that another instance states; longer ones mean the same.
+	maxHistoryMs = uint64(time.Hour / time.Millisecond)
 	// maxIntroduced is the maximum number of instances that are remembered as heard from.
 	maxIntroduced = 4096
 )
@@ -81,6 +86,7 @@
 			continue
 		}
 		p.applyQuarantineReports(m.Requests, m.From.Name)
+		p.applyHistory(m.HistoryMs)
 		p.introduceQuarantine(m.From, m.ProcessID)
 		p.mu.Lock()
 		out := p.members.Receive(m.Message, time.Now())
@@ -106,6 +112,13 @@
 	}
 }
 
+// applyHistory records how far back the knowledge reaches that was received in one message.
+func (p *Peers) applyHistory(historyMs uint64) {
+	if p.quarantine != nil && historyMs > 0 {
+		p.quarantine.MergeHistory(time.Duration(min(historyMs, maxHistoryMs))*time.Millisecond, time.Now())
+	}
+}
+
 // introduceQuarantine sends what is known about requests that crash leafs to an instance that is
 // heard from for the first time since it started or was believed dead. It may be serving callers
 // already. It is called by one goroutine.
@@ -120,10 +133,19 @@
 	p.introduced[to.Name] = state
 	for reports := range slices.Chunk(p.quarantine.AntiEntropyReports(maxIntroductoryReports, time.Now()), maxReportsPerMessage) {
 		p.mu.Lock()
-		m := p.members.GossipTo(to.Addr)
+		e := p.members.GossipTo(to.Addr)
 		p.mu.Unlock()
-		p.sendPacket(m.To, packet{Message: m.Message, Requests: reports})
+		p.sendReports(e, reports)
+	}
+}
+
+// sendReports sends a message with reports about requests that are suspected or quarantined.
+func (p *Peers) sendReports(e membership.Envelope, reports []quarantine.Report) {
+	m := packet{Message: e.Message, Requests: reports}
+	if p.quarantine != nil {
+		m.HistoryMs = uint64(p.quarantine.History(len(reports), time.Now()).Milliseconds())
 	}
+	p.sendPacket(e.To, m)
 }
 
 // shareQuarantine sends changes of the quarantine table to all members until Close is called, each a
@@ -146,11 +168,11 @@
 // datagrams.
 func (p *Peers) sendAll(out []membership.Envelope) {
 	for _, e := range out {
-		m := packet{Message: e.Message}
+		var reports []quarantine.Report
 		if p.quarantine != nil && e.Message.Kind != membership.MemberList {
-			m.Requests = p.quarantine.AntiEntropyReports(maxPiggybackedReports, time.Now())
+			reports = p.quarantine.AntiEntropyReports(maxPiggybackedReports, time.Now())
 		}
-		p.sendPacket(e.To, m)
+		p.sendReports(e, reports)
 	}
 }
 
--- a/pkg/peers/quarantine_test.go
+++ b/pkg/peers/quarantine_test.go
@@ -70,6 +70,7 @@
 // a few in each message.
 func TestStartedInstanceLearnsQuarantineFromFirstAnswer(t *testing.T) {
 	old, now := newAgent(t, "n1"), time.Now()
+	old.quarantine.StartProbation(10*time.Second, now.Add(-time.Hour))
 	keys := make([]quarantine.Key, 20)
 	for i := range keys {
 		keys[i] = quarantine.KeyOf("deadly", strconv.Itoa(i))
@@ -86,6 +87,20 @@
 	}
 }
 
+// The answer to the first message of an instance ends its probation if all that the sender knows is
+// in it.
+func TestFirstAnswerEndsProbation(t *testing.T) {
+	old, started, now := newAgent(t, "n1"), newAgent(t, "n2"), time.Now()
+	old.quarantine.StartProbation(10*time.Second, now.Add(-time.Hour))
+	started.quarantine.StartProbation(10*time.Second, now)
+	k := quarantine.KeyOf("any")
+	require.True(t, started.quarantine.Admit(k, now).Unproven)
+	go old.receive()
+	go started.receive()
+	started.sendPacket(old.self.Addr, packet{Message: membership.Message{Kind: membership.Join, From: started.self}})
+	require.Eventually(t, func() bool { return !started.quarantine.Admit(k, now).Unproven }, 10*time.Second, time.Millisecond)
+}
+
 // newAgent returns an agent on a loopback port that shares a quarantine table and is not running.
 func newAgent(t *testing.T, name string) *Peers {
 	udp, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
--- a/pkg/quarantine/record.go
+++ b/pkg/quarantine/record.go
@@ -81,7 +81,7 @@
 		return Sound
 	case now.Before(r.quarantinedUntil):
 		return Quarantined
-	case len(r.crashIDs) >= suspectThreshold:
+	case len(r.crashIDs) >= suspectThreshold || r.trials > 0:
 		return Suspect
 	}
 	return Sound
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -30,6 +30,9 @@
 	lastSweep time.Time
 	// maxDuration is the maximum duration of a quarantine.
 	maxDuration time.Duration
+	// probation covers the time in which the table may lack what was known before this instance
+	// started.
+	probation probation
 	// settleTime is how long a claim waits for competing ones; zero if there are no other
 	// instances.
 	settleTime time.Duration
@@ -147,6 +150,11 @@
 	if r.addCrash(xxhash.Sum64String(leaf + " " + attempt)) {
 		t.queueReport(k, false, now)
 	}
+	if from == Sound && t.unprovenLocked(k, now) {
+		// The first leafs that an unproven request is sent to are its trial.
+		r.quarantinedUntil = now.Add(min(unprovenQuarantine, t.maxDuration))
+		r.trials++
+	}
 	return t.verdictChange(k, from, now)
 }
 
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -69,11 +69,22 @@
 	// ConfirmTrial accepts the claim after SettleTime.
 	ClaimID    uint64
 	SettleTime time.Duration
+	// Unproven means that a sound request is sent to few leafs until one has answered it.
+	Unproven bool
 }
 
 // Admit decides how a request that is about to be sent to leafs may be sent. For a suspect it claims
 // the trial, and the claim is sent to the other instances.
 func (t *Table) Admit(k Key, now time.Time) Admission {
+	admission := t.admitKnown(k, now)
+	if admission.Verdict == Sound {
+		admission.Unproven = t.unproven(k, now)
+	}
+	return admission
+}
+
+// admitKnown decides on a request by its record.
+func (t *Table) admitKnown(k Key, now time.Time) Admission {
 	if t.recordCount.Load() == 0 {
 		return Admission{}
 	}
--- a/pkg/relay/exchange.go
+++ b/pkg/relay/exchange.go
@@ -30,6 +30,9 @@
 	Version  int64               `json:"version"`
 	ConfigGz []byte              `json:"config_gz,omitempty"`
 	Reports  []quarantine.Report `json:"requests,omitempty"`
+	// HistoryMs is how far back the peer's knowledge of such requests reaches, if Reports hold
+	// all of it, and 0 otherwise.
+	HistoryMs int64 `json:"history_ms,omitempty"`
 }
 
 // exchange sends a query on a connection to the peer at addr, merges the reports of its response,
@@ -50,30 +53,33 @@
 	if err := stream.Close(); err != nil {
 		return nil, err
 	}
-	cfg, peerReports, err := readResponse(stream)
-	r.mergeReports(peerReports, addr)
+	resp, cfg, err := readResponse(stream)
+	r.mergeReports(resp.Reports, addr)
+	if resp.HistoryMs > 0 {
+		history := time.Duration(min(resp.HistoryMs, time.Hour.Milliseconds())) * time.Millisecond
+		r.quarantine.MergeHistory(history, time.Now())
+	}
 	return cfg, err
 }
 
-// readResponse decodes a response and returns the configuration, nil if there is none, and the
-// quarantine reports.
-func readResponse(r io.Reader) (*topology.Config, []quarantine.Report, error) {
+// readResponse decodes a response and its configuration, which is nil if there is none.
+func readResponse(r io.Reader) (response, *topology.Config, error) {
 	var resp response
 	if err := json.NewDecoder(io.LimitReader(r, maxResponseBytes)).Decode(&resp); err != nil {
-		return nil, nil, err
+		return response{}, nil, err
 	}
 	if len(resp.ConfigGz) == 0 {
-		return nil, resp.Reports, nil
+		return resp, nil, nil
 	}
 	gz, err := gzip.NewReader(bytes.NewReader(resp.ConfigGz))
 	if err != nil {
-		return nil, resp.Reports, err
+		return resp, nil, err
 	}
 	var cfg topology.Config
 	if err := json.NewDecoder(io.LimitReader(gz, maxResponseBytes)).Decode(&cfg); err != nil {
-		return nil, resp.Reports, err
+		return resp, nil, err
 	}
-	return &cfg, resp.Reports, nil
+	return resp, &cfg, nil
 }
 
 // gzipConfig encodes a configuration as gzipped JSON.
@@ -120,6 +126,7 @@
 	}
 	r.mergeReports(q.Reports, peer)
 	resp := response{Reports: r.quarantineReports()}
+	resp.HistoryMs = r.quarantine.History(len(resp.Reports), time.Now()).Milliseconds()
 	if cfg := r.store.Current(); cfg != nil {
 		resp.Version = cfg.Version
 		if cfg.Version > q.Version {
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -159,6 +159,10 @@
 	// MaxQuarantineMs is the maximum time for which a request that crashes leafs is quarantined,
 	// that is, sent to no leaf.
 	MaxQuarantineMs int `yaml:"quarantine_most_ms"`
+	// ProbationMs is how long after its start the instance sends requests that no leaf has
+	// answered to few leafs first, unless its peers know longer which requests crash leafs. Read
+	// only at start.
+	ProbationMs int `yaml:"probation_ms"`
 	// MaxHeldBytes is the maximum number of bytes of answers that callers have not yet read.
 	MaxHeldBytes int `yaml:"max_held_bytes"`
 }
--- a/pkg/settings/nodecheck.go
+++ b/pkg/settings/nodecheck.go
@@ -65,6 +65,7 @@
 		positive("limits.max_connections", n.Limits.MaxConnections),
 		positive("limits.max_peer_connections", n.Limits.MaxPeerConnections),
 		positive("limits.quarantine_most_ms", n.Limits.MaxQuarantineMs),
+		positive("limits.probation_ms", n.Limits.ProbationMs),
 		positive("limits.max_held_bytes", n.Limits.MaxHeldBytes),
 		oneOf("overload.priorities", n.Overload.Priorities, "auto", "on", "off"),
 		oneOf("overload.single_queue", n.Overload.SingleQueue, "auto", "on", "off"),
--- a/pkg/settings/nodedefaults.go
+++ b/pkg/settings/nodedefaults.go
@@ -71,7 +71,7 @@
 		Machine: NodeMachine{CPUs: 1},
 		// Of 4,100 file descriptors, several hundred remain for files, leafs, the store and
 		// operators.
-		Limits:   NodeLimits{MaxInFlight: 400, Workers: 4096, MaxConnections: 3000, MaxPeerConnections: 400, MaxQuarantineMs: defaultMaxQuarantineMs, MaxHeldBytes: 32 << 20},
+		Limits:   NodeLimits{MaxInFlight: 400, Workers: 4096, MaxConnections: 3000, MaxPeerConnections: 400, MaxQuarantineMs: defaultMaxQuarantineMs, ProbationMs: defaultProbationMs, MaxHeldBytes: 32 << 20},
 		Overload: NodeOverload{Priorities: "auto", SingleQueue: "auto", Returns: "auto", MinAdmittedShare: 0.3, ShortTimeoutTargets: 12},
 		Log:      NodeLog{Level: "debug", LinesPerSecond: 5, Burst: 20, Buffer: 512},
 		TickMs:   50,
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -55,6 +55,10 @@
 	// MaxQuarantineMs is the maximum time for which a request that crashes
 	// backend servers is quarantined, that is, sent to no server.
 	MaxQuarantineMs int `yaml:"quarantine_most_ms"`
+	// ProbationMs is how long after its start the instance sends requests that no
+	// backend server has answered to few servers first, unless its peers know
+	// longer which requests crash them.
+	ProbationMs int `yaml:"probation_ms"`
 	// RelayListen is the UDP address at which peers ask for the configuration;
 	// "" disables the relay. Peers lists the relay addresses of the peers, and
 	// RelaySecret is the secret that all share.
@@ -136,11 +140,14 @@
 	defaultRelayIntervalMs      = 1000
 	// defaultMaxQuarantineMs is one day.
 	defaultMaxQuarantineMs = 24 * 60 * 60 * 1000
-	minRelaySecretLength   = 16
-	defaultSlots           = 2
-	defaultMaxConns        = 25
-	defaultReadsPerSecond  = 2000
-	defaultWatchTimeoutMs  = 5000
+	// defaultProbationMs: callers that a restart of all instances has refused
+	// come back within seconds.
+	defaultProbationMs    = 10 * 1000
+	minRelaySecretLength  = 16
+	defaultSlots          = 2
+	defaultMaxConns       = 25
+	defaultReadsPerSecond = 2000
+	defaultWatchTimeoutMs = 5000
 )
 
 // Data sets that a backend server stand-in can simulate.
@@ -205,6 +212,7 @@
 	setDefault(&s.MinHedgeDelayMs, defaultMinHedgeDelayMs)
 	setDefault(&s.RelayIntervalMs, defaultRelayIntervalMs)
 	setDefault(&s.MaxQuarantineMs, defaultMaxQuarantineMs)
+	setDefault(&s.ProbationMs, defaultProbationMs)
 	if s.ZonePenaltyMs == 0 {
 		s.ZonePenaltyMs = defaultZonePenaltyMs
 	}
@@ -216,6 +224,7 @@
 		between("hedge_budget_percent", s.SecondRequestPercent, 0, 100),
 		positive("hedge_min_ms", s.MinHedgeDelayMs),
 		positive("quarantine_most_ms", s.MaxQuarantineMs),
+		positive("probation_ms", s.ProbationMs),
 		positive("zone_penalty_ms", s.ZonePenaltyMs),
 		s.checkRelay(),
 		required("name", s.Name),
