fanout: only the suspected shard's leafs can clear a request

A request that crashes only the leafs of one shard, by what that shard holds, was tried at another shard while all leafs of the first were down, answered there, cleared at all instances and sent to the first shard again as soon as a leaf of it was back.

TestTrialWaitsForLeafOfSuspectedShard failed before (the trial went to shard s0).

--- a/pkg/fanout/trial.go
+++ b/pkg/fanout/trial.go
@@ -1,6 +1,7 @@
 package fanout
 
 import (
+	"slices"
 	"time"
 
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
@@ -16,7 +17,7 @@
 // given up. Its requests waiting in the queues of other leafs are then cancelled.
 const maxLeafsCrashed = 3
 
-// startTrial sends the query to a single leaf, preferably of the suspected shard. The other
+// startTrial sends the query to a single leaf, of the suspected shard if the route has it. The other
 // shards are asked once that leaf has answered.
 func (q *Query) startTrial(now time.Time) ([]Request, *Refusal) {
 	placements, refusal := q.placeAll(now)
@@ -24,26 +25,29 @@
 		refusal.setShortage()
 		return nil, &refusal
 	}
+	shard := q.trialShard(placements)
+	if q.shards[shard].placeResult != replica.Placed {
+		// An answer from another shard would not clear the query: it may crash only the leafs of
+		// this one.
+		refusal.RetryAfter = unreachableRetryAfter
+		return nil, &refusal
+	}
 	for i := range q.shards {
 		q.shards[i].excluded = false
 	}
-	return q.sendTrial(q.trialShard(placements), now), nil
+	return q.sendTrial(shard, now), nil
 }
 
-// trialShard returns the shard whose leaf is tried: the one at which leafs crashed or, if it has no
-// leaf, the first shard that has one.
+// trialShard returns the shard whose leaf is tried: the one at which leafs crashed or, if the route does
+// not have it, the first shard that has a leaf.
 func (q *Query) trialShard(placements []shardPlacement) int {
-	first := 0
-	for i := len(placements) - 1; i >= 0; i-- {
-		if q.shards[i].placeResult != replica.Placed {
-			continue
-		}
-		first = i
-		if q.route.Shards[i] == q.suspectService {
-			return i
-		}
+	if i := slices.Index(q.route.Shards, q.suspectService); i >= 0 {
+		return i
 	}
-	return first
+	first := slices.IndexFunc(placements, func(p shardPlacement) bool {
+		return q.shards[p.shard].placeResult == replica.Placed
+	})
+	return max(first, 0)
 }
 
 // sendTrial sends the single request of a trial.
--- a/pkg/fanout/trial_test.go
+++ b/pkg/fanout/trial_test.go
@@ -137,6 +137,20 @@
 	require.Equal(t, 0, requests[0].Shard)
 }
 
+// Guards against a request that crashes only the leafs of one shard, and is cleared by the answer of
+// another shard while all leafs of the first are down.
+func TestTrialWaitsForLeafOfSuspectedShard(t *testing.T) {
+	q := tenShardQuery(Params{Suspect: true, SuspectService: "s3"})
+	for _, id := range []string{"s3a", "s3b"} {
+		q.table.Remove(id, epoch)
+	}
+	requests, refusal := q.Start(epoch)
+	require.Empty(t, requests)
+	require.NotNil(t, refusal)
+	require.False(t, refusal.Overloaded)
+	require.Equal(t, unreachableRetryAfter, refusal.RetryAfter)
+}
+
 // Guards against trials that end without a result. The trial's leaf was given the time until the
 // target latency; a request that runs for longer before it crashes the leaf was cut off each time and
 // tried again.
