peers: reports that do not fit into a datagram are sent in several

A message that is too large is now sent as two with half of its reports each.

TestReportsWithLongServiceNamesArrive failed before.

--- a/pkg/peers/gossip.go
+++ b/pkg/peers/gossip.go
@@ -176,7 +176,7 @@
 	}
 }
 
-// sendPacket sends one datagram.
+// sendPacket sends a message, in several datagrams if its reports do not fit into one.
 func (p *Peers) sendPacket(addr string, m packet) {
 	m.ProcessID = p.processID
 	raw, err := cbor.Marshal(m)
@@ -184,6 +184,14 @@
 		p.log.Decision("member_message_failed", oplog.Fields{"error": err.Error()})
 		return
 	}
+	if half := len(m.Requests) / 2; len(raw) > maxDatagramBytes && half > 0 {
+		first, second := m, m
+		first.Requests, first.HistoryMs = m.Requests[:half], 0
+		second.Requests, second.HistoryMs = m.Requests[half:], 0
+		p.sendPacket(addr, first)
+		p.sendPacket(addr, second)
+		return
+	}
 	to, err := net.ResolveUDPAddr("udp4", addr)
 	if err != nil {
 		p.log.Decision("member_message_failed", oplog.Fields{"to": addr, "error": err.Error()})
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -40,7 +40,7 @@
 	// peers arrive within milliseconds, and callers wait for the state that they carry.
 	startupTickInterval = 20 * time.Millisecond
 	startupPeriod       = 2 * time.Second
-	// maxDatagramBytes is the maximum size of a received membership datagram.
+	// maxDatagramBytes is the maximum size of a membership datagram.
 	maxDatagramBytes = 2048
 	// avoidDuration is how long a peer gets no work after it timed out, refused a connection
 	// or closed one.
--- a/pkg/peers/quarantine_test.go
+++ b/pkg/peers/quarantine_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -87,6 +88,25 @@
 	}
 }
 
+// Guards against reports that are lost because their message is larger than a receiver accepts: twelve
+// requests with service names of sixty bytes and more did not fit into a datagram.
+func TestReportsWithLongServiceNamesArrive(t *testing.T) {
+	sender, receiver := newAgent(t, "n1"), newAgent(t, "n2")
+	go receiver.receive()
+	now := time.Now()
+	var reports []quarantine.Report
+	for i := range maxReportsPerMessage {
+		reports = append(reports, quarantine.Report{
+			Key: quarantine.KeyOf(strconv.Itoa(i)), CrashIDs: []uint64{1 << 60, 2 << 60, 3 << 60, 4 << 60},
+			Service: strings.Repeat("s", 128), RemainingMs: 60000, ClaimID: 1 << 62,
+		})
+	}
+	sender.sendPacket(receiver.self.Addr, packet{Message: membership.Message{From: sender.self}, Requests: reports})
+	require.Eventually(t, func() bool {
+		return receiver.quarantine.Count(quarantine.Quarantined, now) == len(reports)
+	}, 10*time.Second, time.Millisecond)
+}
+
 // The answer to the first message of an instance ends its probation if all that the sender knows is
 // in it.
 func TestFirstAnswerEndsProbation(t *testing.T) {
