quarantine: a step of the wall clock does not change the probation

The end of a probation was kept as a time of day, so a clock step of some seconds ended it early or prolonged it. It is now kept relative to the start, on the monotonic clock, like all other times of the package. Found by reading.

--- a/pkg/quarantine/probation.go
+++ b/pkg/quarantine/probation.go
@@ -19,22 +19,27 @@
 // one, and would crash a leaf of each shard. The first crash is therefore taken for that of a trial.
 type probation struct {
 	// period is how far back the knowledge of the instances must reach until requests are sent as
-	// usual. until is the end of the probation in nanoseconds since 1970; zero means that there
-	// was none.
+	// usual. The zero value means that there is no probation.
 	period time.Duration
-	until  atomic.Int64
+	// started is when this instance started, and lasts how long after that the probation ends, in
+	// nanoseconds. Steps of the wall clock do not change either.
+	started time.Time
+	lasts   atomic.Int64
 	// proven are the requests that a leaf has answered.
 	proven map[Key]struct{}
 }
 
 // active reports whether the probation is in force.
-func (p *probation) active(now time.Time) bool { return now.UnixNano() < p.until.Load() }
+func (p *probation) active(now time.Time) bool { return now.Sub(p.started) < p.duration() }
+
+// duration returns the time from the start to the end of the probation.
+func (p *probation) duration() time.Duration { return time.Duration(p.lasts.Load()) }
 
 // StartProbation begins the probation of an instance that starts now. It must be called before the
 // table is used.
 func (t *Table) StartProbation(period time.Duration, now time.Time) {
-	t.probation.period = period
-	t.probation.until.Store(now.Add(period).UnixNano())
+	t.probation.period, t.probation.started = period, now
+	t.probation.lasts.Store(int64(period))
 	t.probation.proven = make(map[Key]struct{})
 }
 
@@ -76,16 +81,16 @@
 			return 0
 		}
 	}
-	return max(now.Sub(time.Unix(0, t.probation.until.Load()).Add(-t.probation.period)), 0)
+	return max(now.Sub(t.probation.started)+t.probation.period-t.probation.duration(), 0)
 }
 
 // MergeHistory records that all knowledge of an instance was received, which reaches back for the
 // given time.
 func (t *Table) MergeHistory(history time.Duration, now time.Time) {
-	until := now.Add(t.probation.period - history).UnixNano()
+	lasts := int64(now.Sub(t.probation.started) + t.probation.period - history)
 	for {
-		current := t.probation.until.Load()
-		if until >= current || t.probation.until.CompareAndSwap(current, until) {
+		current := t.probation.lasts.Load()
+		if lasts >= current || t.probation.lasts.CompareAndSwap(current, lasts) {
 			return
 		}
 	}
