--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -123,13 +123,6 @@
 	p.setWarmers = apply
 }
 
-// EnableQuarantineSharing makes the agent exchange with its peers the requests in table that make
-// leafs crash. It must be called before Run.
-func (p *Peers) EnableQuarantineSharing(table *quarantine.Table) {
-	table.EnableSharing()
-	p.quarantine = table
-}
-
 // Run maintains the membership and the connections until Close is called.
 func (p *Peers) Run() {
 	go p.receive()
