--- a/pkg/quarantine/table_test.go
+++ b/pkg/quarantine/table_test.go
@@ -292,3 +292,27 @@
 	}
 	require.LessOrEqual(t, trials, 3, "trials in a minute")
 }
+
+// Guards against two requests that are tried at leafs of one service together, and are both quarantined
+// when one of them crashes its leaf; and against trials of many requests one after the other where the
+// leafs crash on any of them.
+func TestOneTrialAtATimeForAService(t *testing.T) {
+	table := NewTable()
+	suspect := func(n int) {
+		for _, leaf := range []string{"a", "b"} {
+			table.RecordLeafCrash(key(n), "r", leaf, "s", epoch, at(10*time.Millisecond))
+		}
+	}
+	suspect(0)
+	suspect(1)
+	now := at(time.Second)
+	require.Equal(t, Suspect, table.Admit(key(0), now).Verdict)
+	require.Equal(t, Admission{Verdict: Quarantined, RetryAfter: TrialRetryAfter}, table.Admit(key(1), now))
+	table.RecordTrial(key(0), Answered, now)
+	require.Equal(t, Suspect, table.Admit(key(1), now).Verdict)
+	for n := range massQuarantineThreshold {
+		suspect(2 + n)
+	}
+	require.Equal(t, Suspect, table.Admit(key(2), now).Verdict)
+	require.Equal(t, Quarantined, table.Admit(key(2), now).Verdict, "it is being tried itself")
+}
--- a/pkg/quarantine/trial.go
+++ b/pkg/quarantine/trial.go
@@ -95,7 +95,7 @@
 	case Quarantined:
 		return Admission{Verdict: Quarantined, RetryAfter: r.quarantinedUntil.Sub(now)}
 	case Suspect:
-		if t.trialInProgress(r.service, now) {
+		if r.claim.inForce(now) || t.trialInProgress(r.service, now) {
 			return Admission{Verdict: Quarantined, RetryAfter: TrialRetryAfter}
 		}
 		r.claim = trialClaim{id: newClaimID(), until: now.Add(claimTimeout), own: true}
@@ -106,8 +106,12 @@
 }
 
 // trialInProgress reports whether some request is being tried at a leaf of a service. If two were
-// tried together and the leaf crashed, both would be taken for the cause. The caller must hold mu.
+// tried together and the leaf crashed, both would be taken for the cause. Where leafs crash on any
+// request this tells nothing, and would only delay the trials. The caller must hold mu.
 func (t *Table) trialInProgress(service string, now time.Time) bool {
+	if t.countLocked(Suspect, now)+t.countLocked(Quarantined, now) >= massQuarantineThreshold {
+		return false
+	}
 	for _, r := range t.records {
 		if r.service == service && r.claim.inForce(now) {
 			return true
