fanout: an unproven query whose leaf crashed neither spins nor waits for its deadline

The shards that an unproven query had not asked yet were checked again at a time in the past once a leaf had crashed under it, so that its loop ran without a pause until another event, and a query with nothing in flight was held to its deadline. This needs a request that another attempt proved meanwhile; otherwise the crash quarantines it and ends the query. Such shards are now checked like those that wait for a second request, and are given up once nothing is in flight.

--- a/pkg/fanout/slowstart.go
+++ b/pkg/fanout/slowstart.go
@@ -9,7 +9,14 @@
 // mayAskFirst reports whether the first request for s may be sent, when asked shards were asked so
 // far. Otherwise s is checked again when the window has widened.
 func (q *Query) mayAskFirst(s *shard, asked int, now time.Time) bool {
-	if q.firstWindow == 0 || q.coveredShards > 0 || asked < q.firstWindow {
+	switch {
+	case q.firstWindow == 0 || q.coveredShards > 0:
+		return true
+	case q.suspected():
+		s.excluded = !q.InFlight()
+		s.nextCheck = now.Add(retryCheckInterval)
+		return false
+	case asked < q.firstWindow:
 		return true
 	}
 	if q.widenAt.IsZero() {
@@ -21,7 +28,7 @@
 
 // widenFirstWindow doubles the number of shards that may be asked when it is due.
 func (q *Query) widenFirstWindow(now time.Time) {
-	if q.firstWindow == 0 || q.widenAt.IsZero() || now.Before(q.widenAt) || q.suspected() {
+	if q.firstWindow == 0 || q.widenAt.IsZero() || now.Before(q.widenAt) {
 		return
 	}
 	q.firstWindow *= 2
--- a/pkg/fanout/slowstart_test.go
+++ b/pkg/fanout/slowstart_test.go
@@ -27,11 +27,24 @@
 	}
 	require.Len(t, sent, 1, "one more shard")
 	require.Empty(t, q.HandleReply(requests[0].Shard, 0, replica.LeafCrashed, at(delay+1)))
-	for ms := delay + 15; ms < 1000; ms += 15 {
+	for ms := delay + 2; ms < 1000; ms++ {
 		require.Empty(t, q.Tick(at(ms)))
+		require.True(t, q.NextCheck(at(ms)).After(at(ms)), "the query is not checked all the time")
 	}
 }
 
+// An unproven query whose only leaf has crashed ends at once: it must not be held to its deadline.
+func TestUnprovenQueryEndsAfterCrashOfItsOnlyLeaf(t *testing.T) {
+	q := tenShardQuery(Params{Unproven: true})
+	requests, _ := q.Start(epoch)
+	require.Empty(t, q.HandleReply(requests[0].Shard, 0, replica.LeafCrashed, at(10)))
+	for ms := 10; q.State(at(ms)) == Running; ms++ {
+		require.Less(t, ms, 200)
+		require.Empty(t, q.Tick(at(ms)))
+	}
+	require.Equal(t, Insufficient, q.State(at(200)))
+}
+
 // The first reply shows that an unproven query is sound: all other shards are asked at once.
 func TestFirstReplyReleasesUnprovenQuery(t *testing.T) {
 	q := tenShardQuery(Params{Unproven: true})
