--- a/pkg/gateway/stats.go
+++ b/pkg/gateway/stats.go
@@ -30,6 +30,7 @@
 	gauge := func(name string, f func() float64) { s.set.NewGauge(name, f) }
 	gauge("gateway_requests_suspect", func() float64 { return float64(table.Count(quarantine.Suspect, time.Now())) })
 	gauge("gateway_requests_quarantined", func() float64 { return float64(table.Count(quarantine.Quarantined, time.Now())) })
+	gauge("gateway_probation_left_seconds", func() float64 { return table.ProbationLeft(time.Now()).Seconds() })
 	counts := table.Counts()
 	gauge("gateway_leafs_ended", func() float64 { return float64(counts.LeafsCrashed.Load()) })
 	gauge("gateway_request_trials", func() float64 { return float64(counts.Trials.Load()) })
--- a/pkg/quarantine/probation.go
+++ b/pkg/quarantine/probation.go
@@ -43,6 +43,11 @@
 	t.probation.proven = make(map[Key]struct{})
 }
 
+// ProbationLeft returns the time left of the probation.
+func (t *Table) ProbationLeft(now time.Time) time.Duration {
+	return max(t.probation.duration()-now.Sub(t.probation.started), 0)
+}
+
 // unproven reports whether a sound request is to be sent to few leafs first.
 func (t *Table) unproven(k Key, now time.Time) bool {
 	if !t.probation.active(now) {
--- a/pkg/quarantine/probation_test.go
+++ b/pkg/quarantine/probation_test.go
@@ -20,6 +20,8 @@
 	table.RecordAnswered(key(1), at(time.Second))
 	require.False(t, table.Admit(key(1), at(time.Second)).Unproven)
 	require.True(t, table.Admit(key(2), at(time.Second)).Unproven)
+	require.Equal(t, testProbation-time.Second, table.ProbationLeft(at(time.Second)))
+	require.Zero(t, table.ProbationLeft(at(time.Hour)))
 	require.False(t, table.Admit(key(2), at(testProbation)).Unproven, "the probation has ended")
 	for n := range 2 * maxProven {
 		table.RecordAnswered(key(n), at(time.Second))
