leafconn: count the bytes of replies that are being read

Three gauges: the bytes held, and the most bytes of one reply while its header and while its body was being read. No decision changes.

--- a/pkg/leafconn/pool.go
+++ b/pkg/leafconn/pool.go
@@ -49,6 +49,10 @@
 	StrayDrops atomic.Int64
 	// OpenConns is the number of open connections.
 	OpenConns atomic.Int64
+	// ReplyBytesHeld is the number of bytes received of the replies that are being read.
+	// MaxHeaderBytes and MaxBodyBytes are the largest numbers of bytes received of one reply while
+	// its header or its body was being read.
+	ReplyBytesHeld, MaxHeaderBytes, MaxBodyBytes atomic.Int64
 }
 
 // Pool holds the connections to all leafs by leaf ID, so that a restarted leaf at the same
@@ -70,7 +74,9 @@
 type conn struct {
 	net.Conn
 	leaf string
-	br   *bufio.Reader
+	in   *replyReader
+	// br buffers in.
+	br *bufio.Reader
 	// idleUntil is when the connection is closed unless it is used before.
 	idleUntil time.Time
 	// hasReplied reports that the header of a reply was received on the connection.
@@ -150,7 +156,8 @@
 		return nil, err
 	}
 	p.Stats.OpenConns.Add(1)
-	c := &conn{Conn: raw, leaf: leaf, br: bufio.NewReaderSize(raw, readBufferSize)}
+	in := &replyReader{Conn: raw, stats: &p.Stats}
+	c := &conn{Conn: raw, leaf: leaf, in: in, br: bufio.NewReaderSize(in, readBufferSize)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.markBusy(c)
--- a/pkg/leafconn/roundtrip.go
+++ b/pkg/leafconn/roundtrip.go
@@ -136,6 +136,7 @@
 
 // readReply reads one complete reply and reports whether the connection may be kept.
 func (p *Pool) readReply(c *conn, req *http.Request) (*Reply, bool, error) {
+	defer c.in.endReply()
 	for {
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
@@ -148,6 +149,7 @@
 			}
 			continue
 		}
+		c.in.endHeader()
 		body, err := io.ReadAll(io.LimitReader(resp.Body, p.opts.MaxReplyBytes+1))
 		if err != nil {
 			return nil, false, err
