leafconn: limit the bytes of a reply's header, and of all replies that are being read

Cause: readReply passes the connection to http.ReadResponse, which buffers a status line and a header of any size. Options.MaxReplyBytes was applied to the body only.

Change: the connection's reader counts the bytes of the reply in progress. A header, with its interim responses, may have 64 KiB (leafs.max_header_bytes). Replies reserve what they have over 16 KiB from 32 MiB (leafs.max_replies_bytes), a quarter of which is open to one leaf, so that a faulty leaf takes no memory that replies of others need. A reply over a limit ends the call at once instead of at its deadline; since it may have run, its outcome stays 'reply lost'. Counters for each limit; the line leaf_call_failed has the error.

Why it holds: no byte is read from a leaf's connection except through this reader, and it asks for room before each read.

--- a/pkg/leafconn/leafconn_test.go
+++ b/pkg/leafconn/leafconn_test.go
@@ -18,7 +18,7 @@
 )
 
 // serveLeaf runs a leaf on raw TCP: f handles each connection and reads its requests with next.
-func serveLeaf(t *testing.T, f func(conn net.Conn, next func() *http.Request)) string {
+func serveLeaf(t testing.TB, f func(conn net.Conn, next func() *http.Request)) string {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = ln.Close() })
@@ -45,9 +45,21 @@
 	return ln.Addr().String()
 }
 
+// Limits of newPool in bytes.
+const (
+	testMaxReplyBytes  = 1000
+	testMaxHeaderBytes = 64 << 10
+)
+
+func newLog() *oplog.Log {
+	return oplog.New(io.Discard, nil, oplog.Options{LinesPerSecond: 5, Burst: 20, Buffer: 64})
+}
+
 func newPool() *Pool {
-	log := oplog.New(io.Discard, nil, oplog.Options{LinesPerSecond: 5, Burst: 20, Buffer: 64})
-	return New(Options{DialTimeout: time.Second, IdleTimeout: time.Minute, MaxReplyBytes: 1000, Log: log})
+	return New(Options{
+		DialTimeout: time.Second, IdleTimeout: time.Minute, Log: newLog(),
+		MaxReplyBytes: testMaxReplyBytes, MaxHeaderBytes: testMaxHeaderBytes, MaxRepliesBytes: 4 << 20,
+	})
 }
 
 func newRequest() *http.Request {
--- a/pkg/leafconn/pool.go
+++ b/pkg/leafconn/pool.go
@@ -22,8 +22,12 @@
 	// IdleTimeout is the time after which an unused connection is closed, unless the leaf
 	// announced a shorter one.
 	IdleTimeout time.Duration
-	// MaxReplyBytes is the maximum size of a reply's body in bytes.
-	MaxReplyBytes int64
+	// MaxReplyBytes is the maximum size of a reply's body in bytes, and MaxHeaderBytes that of its
+	// status line and header, including interim responses.
+	MaxReplyBytes, MaxHeaderBytes int64
+	// MaxRepliesBytes is the maximum number of bytes of large replies that are being read at the
+	// same time. One leaf may use a quarter of it.
+	MaxRepliesBytes int64
 	// Log receives an event for each malformed Keep-Alive header in a reply.
 	Log *oplog.Log
 }
@@ -53,6 +57,10 @@
 	// MaxHeaderBytes and MaxBodyBytes are the largest numbers of bytes received of one reply while
 	// its header or its body was being read.
 	ReplyBytesHeld, MaxHeaderBytes, MaxBodyBytes atomic.Int64
+	// HeadersTooLarge counts replies that were rejected for the size of their header,
+	// BodiesTooLarge those for the size of their body, and RepliesWithoutMemory those for
+	// Options.MaxRepliesBytes.
+	HeadersTooLarge, BodiesTooLarge, RepliesWithoutMemory atomic.Int64
 }
 
 // Pool holds the connections to all leafs by leaf ID, so that a restarted leaf at the same
@@ -60,6 +68,7 @@
 type Pool struct {
 	opts   Options
 	dialer net.Dialer
+	memory *replyMemory
 	Stats  Stats
 
 	mu sync.Mutex
@@ -88,7 +97,8 @@
 // New returns an empty pool.
 func New(opts Options) *Pool {
 	return &Pool{
-		opts: opts,
+		opts:   opts,
+		memory: newReplyMemory(opts.MaxRepliesBytes),
 		// Every call sets a read deadline, so no TCP keep-alive probes are needed to
 		// detect a dead leaf.
 		dialer: net.Dialer{Timeout: opts.DialTimeout, KeepAlive: -1},
@@ -156,7 +166,7 @@
 		return nil, err
 	}
 	p.Stats.OpenConns.Add(1)
-	in := &replyReader{Conn: raw, stats: &p.Stats}
+	in := &replyReader{Conn: raw, leaf: leaf, stats: &p.Stats, memory: p.memory, maxHeaderBytes: p.opts.MaxHeaderBytes}
 	c := &conn{Conn: raw, leaf: leaf, in: in, br: bufio.NewReaderSize(in, readBufferSize)}
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/leafconn/roundtrip.go
+++ b/pkg/leafconn/roundtrip.go
@@ -47,10 +47,6 @@
 	Body   []byte
 }
 
-// errBodyTooLarge is returned for a body over Options.MaxReplyBytes, which limits the memory that
-// a leaf can make this process allocate.
-var errBodyTooLarge = errors.New("reply body over the limit")
-
 // RoundTrip sends one request to a leaf and reads its reply until readBy. The connection is
 // kept only after a complete, valid reply with no bytes following it; validate returns an error
 // if the reply does not belong to this request.
@@ -155,6 +151,7 @@
 			return nil, false, err
 		}
 		if int64(len(body)) > p.opts.MaxReplyBytes {
+			p.Stats.BodiesTooLarge.Add(1)
 			return nil, false, errBodyTooLarge
 		}
 		c.keepAlive, err = parseKeepAlive(resp.Header.Get("Keep-Alive"))
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -78,10 +78,12 @@
 		LinesPerSecond: set.Log.LinesPerSecond, Burst: set.Log.Burst, Buffer: set.Log.Buffer, MinLevel: level,
 	})
 	n.pool = leafconn.New(leafconn.Options{
-		DialTimeout:   settings.Duration(set.Leafs.DialTimeoutMs),
-		IdleTimeout:   settings.Duration(set.Leafs.IdleTimeoutMs),
-		MaxReplyBytes: int64(set.Leafs.MaxReplyBytes),
-		Log:           n.log,
+		DialTimeout:     settings.Duration(set.Leafs.DialTimeoutMs),
+		IdleTimeout:     settings.Duration(set.Leafs.IdleTimeoutMs),
+		MaxReplyBytes:   int64(set.Leafs.MaxReplyBytes),
+		MaxHeaderBytes:  int64(set.Leafs.MaxHeaderBytes),
+		MaxRepliesBytes: int64(set.Leafs.MaxRepliesBytes),
+		Log:             n.log,
 	})
 	n.table = replica.NewTable(tableOptions(set))
 	n.leafs = adapter.Leafs(n.pool)
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -119,6 +119,10 @@
 	// expired or was lost stays in use. The leaf writes its entry again in that time.
 	LapseGraceMs  int `yaml:"lapse_grace_ms"`
 	MaxReplyBytes int `yaml:"max_reply_bytes"`
+	// MaxHeaderBytes is the maximum size of a reply's header in bytes, and MaxRepliesBytes the
+	// maximum number of bytes of large replies that are being read at the same time.
+	MaxHeaderBytes  int `yaml:"max_header_bytes"`
+	MaxRepliesBytes int `yaml:"max_replies_bytes"`
 }
 
 // NodePeers configures how the instances of a deployment reach each other.
--- a/pkg/settings/nodecheck.go
+++ b/pkg/settings/nodecheck.go
@@ -60,6 +60,9 @@
 		positive("leafs.idle_ms", n.Leafs.IdleTimeoutMs),
 		nonNegative("leafs.lapse_grace_ms", n.Leafs.LapseGraceMs),
 		positive("leafs.max_reply_bytes", n.Leafs.MaxReplyBytes),
+		between("leafs.max_header_bytes", n.Leafs.MaxHeaderBytes, 4096, 1<<20),
+		// One leaf may use a quarter of it, which has to fit the largest reply.
+		atLeast("leafs.max_replies_bytes", n.Leafs.MaxRepliesBytes, 4*(n.Leafs.MaxReplyBytes+n.Leafs.MaxHeaderBytes)),
 		positive("limits.max_in_flight", n.Limits.MaxInFlight),
 		positive("limits.workers", n.Limits.Workers),
 		positive("limits.max_connections", n.Limits.MaxConnections),
--- a/pkg/settings/nodedefaults.go
+++ b/pkg/settings/nodedefaults.go
@@ -59,6 +59,8 @@
 			IdleTimeoutMs:   30000,
 			LapseGraceMs:    2300,
 			MaxReplyBytes:   4 << 20,
+			MaxHeaderBytes:  64 << 10,
+			MaxRepliesBytes: 32 << 20,
 		},
 		Peers: NodePeers{
 			Batches: true, Gather: true, Feed: true,
