service: limit the header and the body of replies

Found by looking at each place that reads what another process sends.

Change: the library's own limit on bodies (16 MiB), and a connection that buffers at most 64 KiB ahead of the parser. An error quotes 200 bytes of a body that could not be decoded, not all of it.

--- a/pkg/service/client.go
+++ b/pkg/service/client.go
@@ -19,7 +19,7 @@
 }
 
 // StatusError reports a reply without a usable body: the body did not decode,
-// or the status was not 200 and no body was expected.
+// or the status was not 200 and no body was expected. Body is its beginning.
 type StatusError struct {
 	Status int
 	Body   string
@@ -27,6 +27,10 @@
 
 func (e *StatusError) Error() string { return fmt.Sprintf("status %d: %s", e.Status, e.Body) }
 
+func newStatusError(status int, body []byte) *StatusError {
+	return &StatusError{Status: status, Body: string(body[:min(len(body), maxErrorBodyBytes)])}
+}
+
 // NewClient returns a client with at most connsPerHost connections to each
 // host. The retries of the HTTP library are disabled: the caller decides
 // whether a request may be sent twice, never the transport, because a
@@ -37,7 +41,8 @@
 		client.WithDialTimeout(dialTimeout),
 		client.WithMaxConnWaitTimeout(dialTimeout),
 		client.WithRetryConfig(retry.WithMaxAttemptTimes(1)),
-		client.WithDialer(standard.NewDialer()),
+		client.WithDialer(limitedDialer{standard.NewDialer()}),
+		withMaxReplyBody(maxReplyBodyBytes),
 		client.WithMaxIdleConnDuration(30*time.Second),
 	)
 	if err != nil {
@@ -75,10 +80,10 @@
 	status := resp.StatusCode()
 	if out != nil {
 		if err := codec.Unmarshal(resp.Body(), out); err != nil {
-			return status, &StatusError{Status: status, Body: string(resp.Body())}
+			return status, newStatusError(status, resp.Body())
 		}
 	} else if status != 200 {
-		return status, &StatusError{Status: status, Body: string(resp.Body())}
+		return status, newStatusError(status, resp.Body())
 	}
 	return status, nil
 }
