peers: allocate for a frame only what has arrived, and limit the first frame to 1 KiB

Change: the memory of a frame grows with its content, by doubling from 16 KiB; the first frame on a connection, two names, may have 1 KiB.

--- a/pkg/peers/clientconn.go
+++ b/pkg/peers/clientconn.go
@@ -203,7 +203,7 @@
 
 // handleNextFrame reads and handles one frame.
 func (c *clientConn) handleNextFrame(r *bufio.Reader) error {
-	k, raw, err := readFrame(r)
+	k, raw, err := readFrame(r, maxFrameBytes)
 	if err != nil {
 		return err
 	}
--- a/pkg/peers/frames.go
+++ b/pkg/peers/frames.go
@@ -21,6 +21,14 @@
 // the parts of a few hundred shards.
 const maxFrameBytes = 8 << 20
 
+const (
+	// maxHelloBytes is the maximum size of the content of the first frame on a connection: whoever
+	// connects can send one, and it holds two names.
+	maxHelloBytes = 1 << 10
+	// frameChunkBytes is the memory that is allocated for a frame before its content arrives.
+	frameChunkBytes = 16 << 10
+)
+
 // Protocol errors.
 var (
 	errProtocolVersion = errors.New("peer uses another protocol version")
@@ -210,24 +218,36 @@
 	return w.Flush()
 }
 
-// readFrame reads one frame.
-func readFrame(r *bufio.Reader) (frameKind, []byte, error) {
+// readFrame reads one frame whose content has at most maxBytes.
+func readFrame(r *bufio.Reader, maxBytes uint64) (frameKind, []byte, error) {
 	size, err := binary.ReadUvarint(r)
 	if err != nil {
 		return 0, nil, err
 	}
-	if size > maxFrameBytes {
+	if size > maxBytes {
 		return 0, nil, fmt.Errorf("%w: %d bytes", errFrameSize, size)
 	}
 	k, err := r.ReadByte()
 	if err != nil {
 		return 0, nil, err
 	}
-	raw := make([]byte, size)
-	if _, err := io.ReadFull(r, raw); err != nil {
-		return 0, nil, err
+	raw, err := readContent(r, int(size))
+	return frameKind(k), raw, err
+}
+
+// readContent reads size bytes. The memory that it allocates grows with the bytes that have arrived:
+// the size is only what the sender has declared.
+func readContent(r io.Reader, size int) ([]byte, error) {
+	var raw []byte
+	for len(raw) < size {
+		start := len(raw)
+		more := min(max(start, frameChunkBytes), size-start)
+		raw = append(raw, make([]byte, more)...)
+		if _, err := io.ReadFull(r, raw[start:]); err != nil {
+			return nil, err
+		}
 	}
-	return frameKind(k), raw, nil
+	return raw, nil
 }
 
 // frameDecoding accepts texts that are not UTF-8: HTTP allows other bytes in header values and
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -421,7 +421,7 @@
 	}
 	mutate.AddSeeds(f, seeds...)
 	f.Fuzz(func(t *testing.T, raw []byte) {
-		_, content, err := readFrame(bufio.NewReader(bytes.NewReader(raw)))
+		_, content, err := readFrame(bufio.NewReader(bytes.NewReader(raw)), maxFrameBytes)
 		if err != nil {
 			return
 		}
--- a/pkg/peers/query_test.go
+++ b/pkg/peers/query_test.go
@@ -200,8 +200,8 @@
 			return
 		}
 		r := bufio.NewReader(conn)
-		_, _, _ = readFrame(r) // The hello frame.
-		_, _, _ = readFrame(r) // The query, with number 1.
+		_, _, _ = readFrame(r, maxFrameBytes) // The hello frame.
+		_, _, _ = readFrame(r, maxFrameBytes) // The query, with number 1.
 		_ = writeFrame(bufio.NewWriter(conn), kindAccepted, numbered{Number: 1})
 		close(started)
 	}()
--- a/pkg/peers/serverconn.go
+++ b/pkg/peers/serverconn.go
@@ -77,7 +77,7 @@
 	if err := c.conn.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return err
 	}
-	k, raw, err := readFrame(r)
+	k, raw, err := readFrame(r, maxHelloBytes)
 	if err != nil {
 		return err
 	}
@@ -115,7 +115,7 @@
 // handleNextFrame reads and handles one frame. It returns the function that runs the requested
 // work, or nil if there is none.
 func (c *serverConn) handleNextFrame(r *bufio.Reader) (func(), error) {
-	k, raw, err := readFrame(r)
+	k, raw, err := readFrame(r, maxFrameBytes)
 	if err != nil {
 		return nil, err
 	}
--- a/pkg/peers/single_test.go
+++ b/pkg/peers/single_test.go
@@ -164,10 +164,10 @@
 	offer := query{Number: 1, Request: texts.encodeRequest("r1", newTestBatch(0, nil).Request.Content.(Request))}
 	for range 2 {
 		require.NoError(t, writeFrame(w, kindSingle, offer))
-		if k, _, err := readFrame(r); err == nil {
+		if k, _, err := readFrame(r, maxFrameBytes); err == nil {
 			require.Equal(t, kindAccepted, k)
 			_ = writeFrame(w, kindGrant, numbered{Number: 1})
-			_, _, _ = readFrame(r) // The answer.
+			_, _, _ = readFrame(r, maxFrameBytes) // The answer.
 		}
 	}
 	b.requireIdle()
