Log the budget with each second request; gauges of the share in excess of the ratio

No decision changes.

Old processes sent 27 on 83 requests of the last 10 s, of which about 50 lie in the window of the rule (ratio counted again); new ones sent 9 on 13 and 14 on 27 requests within 2 and 3 s (share granted again); front-cleveland-hall-1 and front-detroit-hall-1, one of two of their zones, had 11.7 instead of 5.85 for at least 1.9 s (share of a zone of one).

--- a/pkg/gateway/leafcall.go
+++ b/pkg/gateway/leafcall.go
@@ -65,8 +65,11 @@
 func (g *Gateway) recordSecondRequest(route *routing.Route, call LeafCall, why string) {
 	req := call.Request
 	g.stats.secondRequest(why)
+	now := time.Now()
+	budget := g.table.SecondRequestBudget(call.Service, now)
 	g.log.Decision("second_request", req.logFields(route.Name, oplog.Fields{
-		"service": call.Service, "leaf": call.Leaf.ID, "why": why, "after_ms": time.Since(req.Arrived).Milliseconds(),
+		"service": call.Service, "leaf": call.Leaf.ID, "why": why, "after_ms": now.Sub(req.Arrived).Milliseconds(),
+		"budget_requests": budget.Requests, "budget_sent": budget.SecondRequests, "budget_burst": budget.Burst,
 	}))
 }
 
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -163,6 +163,8 @@
 	gauge("node_leaf_headers_too_large", func() float64 { return float64(n.pool.Stats.HeadersTooLarge.Load()) })
 	gauge("node_leaf_bodies_too_large", func() float64 { return float64(n.pool.Stats.BodiesTooLarge.Load()) })
 	gauge("node_leaf_replies_without_memory", func() float64 { return float64(n.pool.Stats.RepliesWithoutMemory.Load()) })
+	gauge(`node_second_request_burst{kind="shard"}`, func() float64 { return n.table.BurstLimits().Shard })
+	gauge(`node_second_request_burst{kind="single"}`, func() float64 { return n.table.BurstLimits().Single })
 	gauge("node_store_calls", func() float64 { return float64(n.follower.Calls()) })
 	gauge("node_store_failures", func() float64 { return float64(n.follower.Failures()) })
 	gauge("node_store_entries_unreadable", func() float64 { return float64(n.follower.Unreadable()) })
--- a/pkg/replica/budget.go
+++ b/pkg/replica/budget.go
@@ -105,19 +105,39 @@
 	return b.remaining(b.advance(now)) >= 1
 }
 
-// remaining returns the number of second requests that the budget still allows. Second requests
-// are summed over one bucket more than the window, so that no alignment of the window exceeds
-// the limit; requests are summed over the window only.
-func (b *Budget) remaining(current int) float64 {
-	requests, secondRequests := 0, 0
+// BudgetState describes a budget.
+type BudgetState struct {
+	// Requests and SecondRequests are the numbers of requests and second requests in the window.
+	Requests, SecondRequests int
+	// Burst is the number of second requests in excess of the ratio that are allowed in it.
+	Burst float64
+}
+
+// State returns the state of the budget.
+func (b *Budget) State(now time.Time) BudgetState {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.state(b.advance(now))
+}
+
+// state counts second requests over one bucket more than the window, so that no alignment of the
+// window exceeds the limit, and requests over the window only. mu must be held.
+func (b *Budget) state(current int) BudgetState {
+	s := BudgetState{Burst: b.opts.Burst}
 	oldest := (current + 1) % len(b.requests)
 	for i := range b.requests {
-		secondRequests += b.secondRequests[i]
+		s.SecondRequests += b.secondRequests[i]
 		if i != oldest {
-			requests += b.requests[i]
+			s.Requests += b.requests[i]
 		}
 	}
-	return usedRatioFraction*b.opts.Ratio*float64(requests) + b.opts.Burst - float64(secondRequests)
+	return s
+}
+
+// remaining returns the number of second requests that the budget still allows. mu must be held.
+func (b *Budget) remaining(current int) float64 {
+	s := b.state(current)
+	return usedRatioFraction*b.opts.Ratio*float64(s.Requests) + s.Burst - float64(s.SecondRequests)
 }
 
 // SetBurstLimits sets this instance's share of the second requests that all instances together
@@ -129,6 +149,20 @@
 	t.applyBudgetOptions()
 }
 
+// BurstLimits returns this instance's share, or the zero value if it is not known.
+func (t *Table) BurstLimits() BurstLimits {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.burstLimits
+}
+
+// SecondRequestBudget returns the state of the service's budget of second requests.
+func (t *Table) SecondRequestBudget(serviceName string, now time.Time) BudgetState {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.service(serviceName).budget.State(now)
+}
+
 // SetShards sets which services are used only as shards of gather queries.
 func (t *Table) SetShards(shards map[string]bool) {
 	t.mu.Lock()
