succession: a started process counts the second requests of its predecessor

A process spends what the requests of its last window allow in the first seconds of failures; its successor had a count of its own. A member that is stopping is not listed to a process that joins, so that one of two instances had the share of the whole zone (11.7 instead of 5.85).

Change: instances report the second requests of the window to two others each 100 ms if there are new ones, all of them each second, and once more to eight when they stop. A starting process asks eight members and sends no second requests until it knows the counts of its predecessor, with the size of the zone, or until a window has passed. Counts are merged by their maximum, so that lost, repeated and reordered datagrams do no harm; an answer without all parts, or from a keeper that had heard nothing for 1.5 s and no final report, does not end the hold. The ramp now starts at 0 for both kinds and is left to instances that know nothing of a predecessor. The first start of a deployment holds nothing.

TestRestartedInstanceInheritsSecondRequests, TestSuccessorContinuesTheBudgetOfItsPredecessor, TestRestartedInstanceKeepsTheSizeOfItsZone guard the parts.

Tests changed: TestBurstShareRampsUpAfterStart wants 0 where it wanted 2 at the start (stricter). TestRolesAreReassignedWhenInputsChange ignores incarnations in the new list too, as in the others. Tests of a single instance and the soak now say that theirs is the first start of a deployment, which it is; the soak takes that back before its faults.

Why it holds: the second requests of a window that a process has sent are counted by its successor, or have left the window before the successor sends any. What a crashed process sent after its last report (100 ms) is not counted; it is covered by the tenth of the budget that no share uses.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -108,6 +108,9 @@
 	}
 	if n.peering == nil {
 		n.table.SetWarmUpAssignment(replica.WarmUpAssignment{IsolatedInstances: set.Leafs.Instances})
+		if !set.Peers.FirstStart {
+			n.table.HoldSecondRequests(n.started.Add(settings.Duration(set.Declared.SecondRequestWindowMs)))
+		}
 	}
 	n.registerGauges()
 	n.registerPeerGauges()
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -57,6 +57,7 @@
 		agent.EnableBurstSharing(burst, n.table.SetBurstLimits)
 		agent.EnableSingleHandoff(n.gateway.SetSingleRunners)
 	}
+	agent.EnableBudgetSuccession(n.table, settings.Duration(set.Declared.SecondRequestWindowMs), !set.Peers.FirstStart)
 	if set.Peers.Feed {
 		n.follower.OnChange(server.NotifySubscribers)
 		server.PublishFeed(n.follower, func() bool { return n.gateway.Isolated(time.Now()) })
--- a/pkg/node/status.go
+++ b/pkg/node/status.go
@@ -163,6 +163,12 @@
 	gauge("node_leaf_headers_too_large", func() float64 { return float64(n.pool.Stats.HeadersTooLarge.Load()) })
 	gauge("node_leaf_bodies_too_large", func() float64 { return float64(n.pool.Stats.BodiesTooLarge.Load()) })
 	gauge("node_leaf_replies_without_memory", func() float64 { return float64(n.pool.Stats.RepliesWithoutMemory.Load()) })
+	gauge("node_second_requests_held", func() float64 {
+		if n.table.SecondRequestsHeld(time.Now()) {
+			return 1
+		}
+		return 0
+	})
 	gauge(`node_second_request_burst{kind="shard"}`, func() float64 { return n.table.BurstLimits().Shard })
 	gauge(`node_second_request_burst{kind="single"}`, func() float64 { return n.table.BurstLimits().Single })
 	gauge("node_store_calls", func() float64 { return float64(n.follower.Calls()) })
--- a/pkg/peers/burst.go
+++ b/pkg/peers/burst.go
@@ -5,6 +5,7 @@
 
 	"github.com/indigoyoke/indigoyoke/pkg/membership"
 	"github.com/indigoyoke/indigoyoke/pkg/replica"
+	"github.com/indigoyoke/indigoyoke/pkg/succession"
 )
 
 // BurstBudget is the number of second requests (retries and hedges) that all instances together may
@@ -41,6 +42,21 @@
 	// members of the zone, and maxSeenAt when they were observed.
 	maxGatherers, maxMembers int
 	maxSeenAt                time.Time
+	// countsKnown means that this instance counts everything that it has sent in the window, also
+	// before its last start.
+	countsKnown bool
+}
+
+// zoneSize returns the largest recently observed numbers of members and gatherers.
+func (s *burstShare) zoneSize() succession.ZoneSize {
+	return succession.ZoneSize{Members: s.maxMembers, Gatherers: s.maxGatherers}
+}
+
+// inherit adopts what the previous process of this instance knew of its zone. This process may not
+// hear of a member that is about to stop, which still uses its share.
+func (s *burstShare) inherit(zone succession.ZoneSize, now time.Time) {
+	s.maxMembers, s.maxGatherers = max(s.maxMembers, zone.Members), max(s.maxGatherers, zone.Gatherers)
+	s.maxSeenAt, s.countsKnown = now, true
 }
 
 // compute returns this instance's share of the budget, or zero if the budget is unknown.
@@ -70,7 +86,7 @@
 		s.maxSeenAt = now
 	}
 	zoneBudget := s.budget.Total / float64(max(len(s.budget.Zones), 1))
-	b := replica.BurstLimits{Single: singleShare * zoneBudget / float64(s.maxMembers)}
+	b := replica.BurstLimits{Single: s.rampUp(singleShare*zoneBudget/float64(s.maxMembers), now)}
 	isGatherer := len(r.gatherers) == 0 && 2*(r.localPeers+1) > s.maxMembers
 	switch {
 	case isGatherer:
@@ -82,16 +98,12 @@
 	return b
 }
 
-// initialBurst is the number of second requests that an instance may send immediately after its
-// start. Its share then grows linearly for one window.
-const initialBurst = 2
-
-// rampUp limits the share of an instance that has just started: what the previous process of the
-// instance has sent counts in the same window.
+// rampUp limits the share of an instance that has just started and does not know what its previous
+// process has sent. If there was none, the others have used shares that were larger without it.
 func (s *burstShare) rampUp(burst float64, now time.Time) float64 {
 	age := float64(now.Sub(s.started)) / float64(max(s.budget.Window, 1))
-	if burst <= initialBurst || age >= 1 {
+	if s.countsKnown || age >= 1 {
 		return burst
 	}
-	return initialBurst + age*(burst-initialBurst)
+	return age * burst
 }
--- a/pkg/peers/gossip.go
+++ b/pkg/peers/gossip.go
@@ -10,10 +10,11 @@
 	"github.com/indigoyoke/indigoyoke/pkg/membership"
 	"github.com/indigoyoke/indigoyoke/pkg/oplog"
 	"github.com/indigoyoke/indigoyoke/pkg/quarantine"
+	"github.com/indigoyoke/indigoyoke/pkg/succession"
 )
 
-// packet is one datagram: a membership message with piggybacked quarantine reports. Instances of
-// another version ignore the fields that they do not know.
+// packet is one datagram: a membership message with piggybacked quarantine reports and counts of
+// second requests. Instances of another version ignore the fields that they do not know.
 type packet struct {
 	membership.Message
 	// Requests describe requests that make leafs crash.
@@ -24,6 +25,11 @@
 	// HistoryMs is how far back the sender's knowledge of such requests reaches, if Requests hold
 	// all of it, and 0 otherwise.
 	HistoryMs uint64 `cbor:"22,keyasint,omitempty"`
+	// Counts are second requests that the sender has sent, and Predecessor those of the previous
+	// process of the receiver, for which it has asked with AsksCounts.
+	Counts      *succession.Report `cbor:"23,keyasint,omitempty"`
+	Predecessor *succession.Report `cbor:"24,keyasint,omitempty"`
+	AsksCounts  bool               `cbor:"25,keyasint,omitempty"`
 }
 
 // tickMembership runs the timers of the membership and returns the messages to send.
@@ -70,6 +76,7 @@
 		p.applyQuarantineReports(m.Requests, m.From.Name)
 		p.applyHistory(m.HistoryMs)
 		p.introduceQuarantine(m.From, m.ProcessID)
+		p.receiveCounts(m, time.Now())
 		p.mu.Lock()
 		out := p.members.Receive(m.Message, time.Now())
 		p.logStatusChanges()
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -70,6 +70,8 @@
 	roles    roles
 	assigner roleAssigner
 	burst    burstShare
+	// succession is nil if second requests are not passed on to the next process.
+	succession *budgetSuccession
 	// subscriber follows the store through peers; nil if this instance reads the store only
 	// by itself.
 	subscriber *feedSubscriber
@@ -138,6 +140,7 @@
 		case now := <-ticker.C:
 			p.sendAll(p.tickMembership(now))
 			p.updateConnections(now)
+			p.tickBudgetSuccession(now)
 			if startingUp && now.Sub(started) > startupPeriod {
 				startingUp = false
 				ticker.Reset(tickInterval)
@@ -150,7 +153,10 @@
 
 // Close stops the agent and closes its connections.
 func (p *Peers) Close() {
-	p.close.Do(func() { close(p.done) })
+	p.close.Do(func() {
+		p.reportFinalCounts(time.Now())
+		close(p.done)
+	})
 	_ = p.udp.Close() // The agent stops; the error changes nothing.
 	p.mu.Lock()
 	conns := p.conns
--- a/pkg/peers/roles.go
+++ b/pkg/peers/roles.go
@@ -26,6 +26,9 @@
 	// remoteReaders are members of other zones that read the store, one for each of the next
 	// maxRemoteZones zones.
 	remoteReaders []membership.Member
+	// keepers are the members that keep what this instance has sent for its next process, the
+	// preferred one first.
+	keepers []membership.Member
 	// readerRank is the rank of this instance among all members that read the store, divided by
 	// their number: greater than 0 and at most 1. It spreads their reads over time.
 	readerRank float64
@@ -93,6 +96,7 @@
 	readers := storeReaders(self, zones)
 	r.remoteReaders, r.readerRank = selectRemoteReaders(self, readers, avoided), readerRank(self, readers)
 	r.singleRunners = countGatherers(self, zones)
+	r.keepers = selectKeepers(self, zones)
 	for zone, in := range zones {
 		r.usablePeers += len(in)
 		if zone == self.Zone {
@@ -151,6 +155,22 @@
 	return out
 }
 
+// selectKeepers returns up to maxKeepers members, those of the own zone first: messages between zones
+// are billed.
+func selectKeepers(self membership.Member, zones map[string][]membership.Member) []membership.Member {
+	own := slices.Clone(zones[self.Zone])
+	sortByPreference(own, self.Name)
+	var others []membership.Member
+	for zone, in := range zones {
+		if zone != self.Zone {
+			others = append(others, in...)
+		}
+	}
+	sortByPreference(others, self.Name)
+	all := append(own, others...)
+	return all[:min(len(all), maxKeepers)]
+}
+
 // readerRank returns the rank of an instance by name among all readers, divided by their number.
 func readerRank(self membership.Member, readers map[string][]membership.Member) float64 {
 	before, all := 0, 0
--- a/pkg/replica/budget.go
+++ b/pkg/replica/budget.go
@@ -37,13 +37,17 @@
 	opts        BudgetOptions
 	bucketWidth time.Duration
 	// requests and secondRequests are ring buffers of counts per bucket, with one bucket more
-	// than the window has. currentBucket is the number of the newest bucket since startedAt.
+	// than the window has. inherited are the second requests of the previous process of this
+	// instance. currentBucket is the number of the newest bucket since startedAt.
 	requests       [budgetBuckets + 1]int
 	secondRequests [budgetBuckets + 1]int
+	inherited      [budgetBuckets + 1]int
 	currentBucket  int64
-	// startedAt is the time of the first count. Buckets are numbered from it by the monotonic
+	// startedAt is one window before the first count. Buckets are numbered from it by the monotonic
 	// clock, so that changes of the wall clock do not move them.
 	startedAt time.Time
+	// lastSecondRequest is the time of the latest second request.
+	lastSecondRequest time.Time
 }
 
 // BurstLimits holds the number of second requests that this instance may send to a service in
@@ -67,13 +71,14 @@
 // bucket.
 func (b *Budget) advance(now time.Time) int {
 	if b.startedAt.IsZero() {
-		b.startedAt = now
+		b.startedAt = now.Add(-time.Duration(len(b.requests)) * b.bucketWidth)
 	}
 	bucket := int64(now.Sub(b.startedAt) / b.bucketWidth)
 	n := int64(len(b.requests))
 	for i := max(b.currentBucket+1, bucket-n+1); i <= bucket; i++ {
 		b.requests[i%n] = 0
 		b.secondRequests[i%n] = 0
+		b.inherited[i%n] = 0
 	}
 	b.currentBucket = max(b.currentBucket, bucket)
 	return int(b.currentBucket % n)
@@ -95,6 +100,7 @@
 		return false
 	}
 	b.secondRequests[i]++
+	b.lastSecondRequest = now
 	return true
 }
 
@@ -126,7 +132,7 @@
 	s := BudgetState{Burst: b.opts.Burst}
 	oldest := (current + 1) % len(b.requests)
 	for i := range b.requests {
-		s.SecondRequests += b.secondRequests[i]
+		s.SecondRequests += b.secondRequests[i] + b.inherited[i]
 		if i != oldest {
 			s.Requests += b.requests[i]
 		}
@@ -139,79 +145,3 @@
 	s := b.state(current)
 	return usedRatioFraction*b.opts.Ratio*float64(s.Requests) + s.Burst - float64(s.SecondRequests)
 }
-
-// SetBurstLimits sets this instance's share of the second requests that all instances together
-// may send in excess of the ratio.
-func (t *Table) SetBurstLimits(b BurstLimits) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.burstLimits = b
-	t.applyBudgetOptions()
-}
-
-// BurstLimits returns this instance's share, or the zero value if it is not known.
-func (t *Table) BurstLimits() BurstLimits {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.burstLimits
-}
-
-// SecondRequestBudget returns the state of the service's budget of second requests.
-func (t *Table) SecondRequestBudget(serviceName string, now time.Time) BudgetState {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.service(serviceName).budget.State(now)
-}
-
-// SetShards sets which services are used only as shards of gather queries.
-func (t *Table) SetShards(shards map[string]bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.shards = shards
-	t.applyBudgetOptions()
-}
-
-// applyBudgetOptions updates the limits of all services. The caller holds mu.
-func (t *Table) applyBudgetOptions() {
-	for name, s := range t.services {
-		s.budget.SetOptions(t.budgetOptions(name))
-	}
-}
-
-// budgetOptions returns the limits of a service. The caller holds mu.
-func (t *Table) budgetOptions(serviceName string) BudgetOptions {
-	opts := t.opts.Budget
-	switch {
-	case t.burstLimits == BurstLimits{}:
-	case t.shards[serviceName]:
-		opts.Burst = t.burstLimits.Shard
-	default:
-		opts.Burst = t.burstLimits.Single
-	}
-	return opts
-}
-
-// CountRequest counts one request towards the service's budget of second requests, whether or
-// not it is sent.
-func (t *Table) CountRequest(serviceName string, now time.Time) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	s := t.service(serviceName)
-	s.budget.CountRequest(now)
-	s.recordRequest(now)
-}
-
-// HasSecondRequestBudget reports whether the service's budget allows a second request.
-func (t *Table) HasSecondRequestBudget(serviceName string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.service(serviceName).budget.Available(now)
-}
-
-// TakeSecondRequestBudget takes one second request out of the service's budget. It returns
-// false if the budget is exhausted.
-func (t *Table) TakeSecondRequestBudget(serviceName string, now time.Time) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.service(serviceName).budget.TryTake(now)
-}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -104,6 +104,8 @@
 	// of gather queries.
 	burstLimits BurstLimits
 	shards      map[string]bool
+	// secondRequestsHeldUntil is the time until which no second requests are sent.
+	secondRequestsHeldUntil time.Time
 	// allowedRegions are the regions whose leafs may get the requests of a class. A class
 	// without regions may use all of them.
 	allowedRegions map[string][]string
