peers: a stopping instance sends nothing to cold leafs

While several instances stop at the same time, a cold leaf received up to 24 requests in a second where 14 are allowed: the others divide the rate without the members that have left, and these go on serving callers with the shares that they had.

Change: an instance that has announced that it leaves takes no share. The others leave it out only after they have heard of that, so the sum holds.

The simulation now passes the instance's current description to the planner, as the product does.

--- a/pkg/peers/warmup.go
+++ b/pkg/peers/warmup.go
@@ -33,7 +33,8 @@
 //
 // The request rate of cold leafs is divided among the selected instances. An instance that knows
 // only a few of them would take too large a share. An instance that has just started, was paused,
-// or is in the minority part of a partitioned zone therefore sends nothing.
+// or is in the minority part of a partitioned zone therefore sends nothing, nor does one that is
+// stopping: the others divide the rate without it.
 func (w *warmupPlanner) update(self membership.Member, members []membership.Member, r roles, now time.Time) replica.WarmUpAssignment {
 	if now.Sub(w.lastStep) > maxStepGap {
 		w.majoritySince, w.gathererSince = time.Time{}, time.Time{}
@@ -46,7 +47,7 @@
 	if !w.expectsPeers && len(members) == 0 {
 		return replica.WarmUpAssignment{IsolatedInstances: 1}
 	}
-	if !isSettled(w.majoritySince, now) {
+	if !isSettled(w.majoritySince, now) || self.Status == membership.Left {
 		return replica.WarmUpAssignment{}
 	}
 	out := replica.WarmUpAssignment{Self: self.Name, Zone: self.Zone, PresentZones: map[string]bool{self.Zone: true}}
--- a/pkg/peers/warmup_test.go
+++ b/pkg/peers/warmup_test.go
@@ -133,7 +133,7 @@
 func (s *warmupSim) sendRequests(n *simNode) {
 	members := n.state.Members()
 	r := assignRoles(n.self, members, neverAvoided)
-	n.table.SetWarmUpAssignment(n.warmup.update(n.self, members, r, s.now()))
+	n.table.SetWarmUpAssignment(n.warmup.update(n.state.Self(), members, r, s.now()))
 	for _, service := range []string{"queries", "single"} {
 		for range 2 * int(coldLimitPerSecond) {
 			p, verdict := n.table.Place(service, "class", nil, s.now())
@@ -251,3 +251,26 @@
 		require.Greater(t, s.averagePerSecond("single", start), coldLimitPerSecond/5, instances)
 	}
 }
+
+// TestLeavingInstancesStayWithinColdLimit guards against cold leafs that receive more than their limit
+// while several instances stop gracefully at the same time. The others divide the limit without them,
+// and they go on serving callers for seconds.
+func TestLeavingInstancesStayWithinColdLimit(t *testing.T) {
+	for _, instances := range []int{6, 12} {
+		for seed := range uint64(20) {
+			s := newWarmupSim(t, instances, 2, seed)
+			s.run(6 * time.Second)
+			for i, n := range s.nodes {
+				s.send(i, n.state.Leave(s.now()))
+				s.run(300 * time.Millisecond)
+				if i >= 7 {
+					s.startNode(i - 7)
+					s.nodes[i-7].unavailableUntil = s.elapsed + 500*time.Millisecond
+				}
+			}
+			s.run(3 * time.Second)
+			most, leaf, when := s.maxPerSecond()
+			require.LessOrEqual(t, float64(most), coldLimitPerSecond, "seed %d: %s got %d in the second from %v", seed, leaf, most, when)
+		}
+	}
+}
