platform: a rejection without an ID on a reused connection is no proof for at-most-once requests

Cause: an error reply without a request ID was taken for the reply to the request in flight, and its X-Not-Executed for proof that it had not run. PROTOCOL.md: 'Leafs echo X-Request-Id in their responses. [...] The ID identifies it', 'additional bytes after a complete response [...] belong to no request'. The example of a leaf that sheds has no ID, though, so such rejections cannot simply be refused.

Change: additional bytes follow a reply, so on a connection that has carried none an error reply without an ID still proves what it says. Nothing changes for repeatable requests.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -75,6 +75,8 @@
 	Request *Request
 	// Deadline is the time after which the leaf should stop working on the request.
 	Deadline time.Time
+	// AtMostOnce means that the request must not run twice.
+	AtMostOnce bool
 }
 
 // LeafReply is the outcome of a LeafCall.
--- a/pkg/gateway/single.go
+++ b/pkg/gateway/single.go
@@ -106,7 +106,7 @@
 	if tracked == nil {
 		return false
 	}
-	call := LeafCall{Leaf: p.Leaf, Service: r.service, Request: r.req, Deadline: r.deadline}
+	call := LeafCall{Leaf: p.Leaf, Service: r.service, Request: r.req, Deadline: r.deadline, AtMostOnce: r.route.Kind == routing.AtMostOnce}
 	err := r.g.pool.Submit(func() { r.replies <- r.g.callLeaf(r.callCtx, call, tracked) })
 	if err != nil {
 		r.g.table.End(tracked, replica.Abandoned, now)
--- a/pkg/gateway/singlequeued.go
+++ b/pkg/gateway/singlequeued.go
@@ -145,7 +145,7 @@
 
 // sendTo sends the request to the leaf at which it has a place, and reports whether it did.
 func (r *queuedRun) sendTo(lease leafqueue.Lease, why string) bool {
-	call := LeafCall{Leaf: lease.Placement.Leaf, Service: r.service, Request: r.req, Deadline: r.deadline}
+	call := LeafCall{Leaf: lease.Placement.Leaf, Service: r.service, Request: r.req, Deadline: r.deadline, AtMostOnce: r.route.Kind == routing.AtMostOnce}
 	err := r.g.pool.Submit(func() {
 		sent := time.Now()
 		reply := r.g.callLeaf(r.callCtx, call, lease.Call)
--- a/pkg/leafconn/leafconn_test.go
+++ b/pkg/leafconn/leafconn_test.go
@@ -70,7 +70,7 @@
 
 // send makes one call with the given timeout.
 func send(p *Pool, addr string, within time.Duration) (*Reply, Outcome, error) {
-	return p.RoundTrip(context.Background(), "leaf", addr, newRequest(), time.Now().Add(within), anyReply)
+	return p.RoundTrip(context.Background(), Call{Leaf: "leaf", Addr: addr, Request: newRequest(), ReadBy: time.Now().Add(within), Validate: anyReply})
 }
 
 // replyToAll sends text in reply to every request on a connection.
@@ -157,7 +157,7 @@
 	p := newPool()
 	addr := serveLeaf(t, replyToAll(okReply))
 	wrong := errors.New("other request")
-	_, outcome, err := p.RoundTrip(context.Background(), "leaf", addr, newRequest(), time.Now().Add(time.Second), func(*Reply) error { return wrong })
+	_, outcome, err := p.RoundTrip(context.Background(), Call{Leaf: "leaf", Addr: addr, Request: newRequest(), ReadBy: time.Now().Add(time.Second), Validate: func(*Reply) error { return wrong }})
 	require.ErrorIs(t, err, wrong)
 	require.Equal(t, ReplyLost, outcome)
 	require.Zero(t, p.Stats.OpenConns.Load())
@@ -210,7 +210,7 @@
 		<-got
 		cancel()
 	}()
-	_, outcome, err := p.RoundTrip(ctx, "leaf", addr, newRequest(), time.Now().Add(10*time.Second), anyReply)
+	_, outcome, err := p.RoundTrip(ctx, Call{Leaf: "leaf", Addr: addr, Request: newRequest(), ReadBy: time.Now().Add(10 * time.Second), Validate: anyReply})
 	require.Error(t, err)
 	require.Equal(t, Cancelled, outcome)
 	<-closed
--- a/pkg/leafconn/pool.go
+++ b/pkg/leafconn/pool.go
@@ -107,12 +107,17 @@
 	}
 }
 
-// get returns a connection to a leaf: an idle one that is still usable, or a new one.
-func (p *Pool) get(ctx context.Context, leaf, addr string, now time.Time) (*conn, error) {
+// get returns a connection for a call: an idle one that is still usable, or a new one.
+func (p *Pool) get(ctx context.Context, call Call, now time.Time) (*conn, error) {
 	for {
-		c := p.popIdle(leaf)
+		c := p.popIdle(call.Leaf)
 		if c == nil {
-			return p.dial(ctx, leaf, addr)
+			return p.dial(ctx, call.Leaf, call.Addr)
+		}
+		if call.NewConn {
+			// The new connection replaces this one, so that their number does not grow.
+			p.close(c)
+			return p.dial(ctx, call.Leaf, call.Addr)
 		}
 		if now.After(c.idleUntil) {
 			p.close(c)
--- a/pkg/leafconn/replylimits_test.go
+++ b/pkg/leafconn/replylimits_test.go
@@ -85,7 +85,7 @@
 	var calls sync.WaitGroup
 	for range cap(outcomes) {
 		calls.Go(func() {
-			_, outcome, _ := p.RoundTrip(context.Background(), "large", large, newRequest(), time.Now().Add(time.Minute), anyReply)
+			_, outcome, _ := p.RoundTrip(context.Background(), Call{Leaf: "large", Addr: large, Request: newRequest(), ReadBy: time.Now().Add(time.Minute), Validate: anyReply})
 			outcomes <- outcome
 		})
 	}
@@ -93,7 +93,7 @@
 	require.Eventually(t, func() bool { return len(outcomes) >= cap(outcomes)-4 }, 30*time.Second, time.Millisecond)
 	require.LessOrEqual(t, p.Stats.ReplyBytesHeld.Load(), int64(8*bodyBytes/leafShares+cap(outcomes)*unreservedReplyBytes))
 	whole := serveLeaf(t, replyToAll(head+string(half)+string(half)))
-	reply, outcome, err := p.RoundTrip(context.Background(), "other", whole, newRequest(), time.Now().Add(time.Minute), anyReply)
+	reply, outcome, err := p.RoundTrip(context.Background(), Call{Leaf: "other", Addr: whole, Request: newRequest(), ReadBy: time.Now().Add(time.Minute), Validate: anyReply})
 	require.Equal(t, Replied, outcome, "%v", err)
 	require.Len(t, reply.Body, bodyBytes)
 	close(rest)
--- a/pkg/leafconn/roundtrip.go
+++ b/pkg/leafconn/roundtrip.go
@@ -45,29 +45,43 @@
 	Status int
 	Header http.Header
 	Body   []byte
+	// Reused reports that the connection had carried another reply before. Only then may this one be
+	// additional bytes after that reply.
+	Reused bool
 }
 
-// RoundTrip sends one request to a leaf and reads its reply until readBy. The connection is
-// kept only after a complete, valid reply with no bytes following it; validate returns an error
-// if the reply does not belong to this request.
-func (p *Pool) RoundTrip(ctx context.Context, leaf, addr string, req *http.Request, readBy time.Time, validate func(*Reply) error) (*Reply, Outcome, error) {
-	now := time.Now()
-	c, err := p.get(ctx, leaf, addr, now)
+// Call is one request to a leaf.
+type Call struct {
+	// Leaf is the leaf's ID and Addr its address.
+	Leaf, Addr string
+	Request    *http.Request
+	// ReadBy is until when the reply is read.
+	ReadBy time.Time
+	// Validate returns an error if a reply does not belong to the request.
+	Validate func(*Reply) error
+	// NewConn sends the request on a new connection.
+	NewConn bool
+}
+
+// RoundTrip sends one request to a leaf and reads its reply. The connection is kept only after a
+// complete, valid reply with no bytes following it.
+func (p *Pool) RoundTrip(ctx context.Context, call Call) (*Reply, Outcome, error) {
+	c, err := p.get(ctx, call, time.Now())
 	if err != nil {
 		if ctx.Err() != nil {
 			return nil, Cancelled, err
 		}
 		return nil, NotSent, err
 	}
-	reply, outcome, err := p.exchange(ctx, c, req, readBy, validate)
+	reply, outcome, err := p.exchange(ctx, c, call)
 	if err != nil {
 		p.close(c)
 		if outcome == TimedOut {
 			// Connections can go silent without an error. The idle ones to the same leaf
 			// may be affected too; closing them only costs new connections.
-			p.CloseIdle(leaf)
+			p.CloseIdle(call.Leaf)
 		}
-		if (outcome == ReplyLost || outcome == ReplyLostOnNewConn) && isConnClosed(err) && sock.RefusesConnections(ctx, addr, sock.RefusalTimeout) {
+		if (outcome == ReplyLost || outcome == ReplyLostOnNewConn) && isConnClosed(err) && sock.RefusesConnections(ctx, call.Addr, sock.RefusalTimeout) {
 			outcome = LeafCrashed
 		}
 		return nil, outcome, err
@@ -77,22 +91,22 @@
 
 // exchange writes the request and reads the reply on c, and returns c to the pool if it can be
 // used again. If exchange returns an error, its caller must close c.
-func (p *Pool) exchange(ctx context.Context, c *conn, req *http.Request, readBy time.Time, validate func(*Reply) error) (*Reply, Outcome, error) {
-	if err := c.SetDeadline(readBy); err != nil {
+func (p *Pool) exchange(ctx context.Context, c *conn, call Call) (*Reply, Outcome, error) {
+	if err := c.SetDeadline(call.ReadBy); err != nil {
 		return nil, NotSent, err
 	}
 	// A deadline in the past interrupts a read in progress. The connection is then closed,
 	// which tells the leaf to stop.
 	stop := context.AfterFunc(ctx, func() { _ = c.SetDeadline(time.Unix(1, 0)) })
 	defer stop()
-	if err := req.Write(c); err != nil {
+	if err := call.Request.Write(c); err != nil {
 		return nil, c.errorOutcome(ctx, err), fmt.Errorf("write request: %w", err)
 	}
-	reply, keep, err := p.readReply(c, req)
+	reply, keep, err := p.readReply(c, call.Request)
 	if err != nil {
 		return nil, c.errorOutcome(ctx, err), fmt.Errorf("read reply: %w", err)
 	}
-	if err := validate(reply); err != nil {
+	if err := call.Validate(reply); err != nil {
 		p.Stats.StrayDrops.Add(1)
 		return nil, ReplyLost, err
 	}
@@ -133,6 +147,7 @@
 // readReply reads one complete reply and reports whether the connection may be kept.
 func (p *Pool) readReply(c *conn, req *http.Request) (*Reply, bool, error) {
 	defer c.in.endReply()
+	reused := c.hasReplied
 	for {
 		resp, err := http.ReadResponse(c.br, req)
 		if err != nil {
@@ -162,7 +177,7 @@
 		}
 		framed := resp.ContentLength >= 0 || len(resp.TransferEncoding) > 0
 		keep := framed && !resp.Close
-		return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body}, keep, nil
+		return &Reply{Status: resp.StatusCode, Header: resp.Header, Body: body, Reused: reused}, keep, nil
 	}
 }
 
