gateway: no path tells a caller that left that its at-most-once request did not run

Cause: net/http reports such a caller as disconnected, and singleRun.wait answered without looking whether the request had been sent. The queued path and the hand-off already did.

Change: both paths share the answer: outcome unknown (IY4001) if it may have run. IY1009 stays for requests that may be repeated, of which nobody knows whether they ran: it now says 'before the answer' and no longer claims that they did not.

Test: TestLeftCallerOfSentSingleIsNotToldThatItDidNotRun, now with and without a queue; failed before (1009 where 4001 is wanted, without a queue). Queries are repeatable; holds of the product's own interface go on without their caller.

--- a/pkg/errcode/errcode.go
+++ b/pkg/errcode/errcode.go
@@ -84,7 +84,7 @@
 	UnknownDeployment:     {"unknown brand deployment", true, 404},
 	UnknownShard:          {"unknown shard", true, 404},
 	DeadlineTooShort:      {"deadline too short to run", true, 400},
-	CallerDisconnected:    {"caller closed the connection before the request ran", true, 400},
+	CallerDisconnected:    {"caller closed the connection before the answer", false, 400},
 	UnknownRoute:          {"no route for this host and path", true, 404},
 	BodyTooLarge:          {"request body over the limit", true, 413},
 	HeaderTooLarge:        {"request header over the limit", true, 431},
--- a/pkg/gateway/single.go
+++ b/pkg/gateway/single.go
@@ -142,11 +142,27 @@
 		case <-end.C:
 			return r.timeoutAnswer()
 		case <-r.callerCtx.Done():
-			return r.g.callerDisconnected(r.req, r.route)
+			return r.callerLeftAnswer()
 		}
 	}
 }
 
+// callerLeftAnswer ends a request whose caller has left.
+func (r *singleRun) callerLeftAnswer() Answer {
+	a := r.g.callerDisconnected(r.req, r.route)
+	a.Code = leftCallerCode(r.route, r.mayHaveRun || r.inFlight > 0)
+	return a
+}
+
+// leftCallerCode returns the result code of a request whose caller has left. A caller that only
+// closed its sending direction still reads the answer, and net/http reports it as having left.
+func leftCallerCode(route *routing.Route, mayHaveRun bool) errcode.Code {
+	if mayHaveRun && route.Kind == routing.AtMostOnce {
+		return errcode.OutcomeUnknown
+	}
+	return errcode.CallerDisconnected
+}
+
 // hedgeTimer fires when a second request is due. It never fires within the deadline of a
 // request that is not repeatable.
 func (r *singleRun) hedgeTimer() *time.Timer {
--- a/pkg/gateway/singleabandoned_test.go
+++ b/pkg/gateway/singleabandoned_test.go
@@ -63,17 +63,19 @@
 // that its at-most-once request did not run although it was sent to a leaf or granted to a gatherer.
 func TestLeftCallerOfSentSingleIsNotToldThatItDidNotRun(t *testing.T) {
 	for path, want := range map[string]errcode.Code{"/hold/left": errcode.OutcomeUnknown, "/one/left": errcode.CallerDisconnected} {
-		t.Run("sent"+path, func(t *testing.T) {
-			b := newBlockingLeafs()
-			defer close(b.release)
-			g := newQueuedGateway(t, b.answer)
-			ctx, leave := context.WithCancel(t.Context())
-			answer := make(chan Answer, 1)
-			go func() { answer <- g.Handle(ctx, newSingle(path)) }()
-			require.Eventually(t, func() bool { return b.count(path) == 1 }, 10*time.Second, time.Millisecond)
-			leave()
-			require.Equal(t, want, (<-answer).Code)
-		})
+		b := newBlockingLeafs()
+		defer close(b.release)
+		for name, g := range map[string]*Gateway{"queued": newQueuedGateway(t, b.answer), "unqueued": newGateway(t, 1, b.answer)} {
+			t.Run("sent "+name+path, func(t *testing.T) {
+				sent := b.count(path)
+				ctx, leave := context.WithCancel(t.Context())
+				answer := make(chan Answer, 1)
+				go func() { answer <- g.Handle(ctx, newSingle(path)) }()
+				require.Eventually(t, func() bool { return b.count(path) == sent+1 }, 10*time.Second, time.Millisecond)
+				leave()
+				require.Equal(t, want, (<-answer).Code)
+			})
+		}
 		t.Run("handed off"+path, func(t *testing.T) {
 			g := newQueuedGateway(t, answered)
 			g.UseGatherers(scriptedGatherers(func(GatherQuery) (Answer, bool) {
--- a/pkg/gateway/singlequeued.go
+++ b/pkg/gateway/singlequeued.go
@@ -198,19 +198,7 @@
 	if r.waiting {
 		r.leave()
 	}
-	a := r.g.callerDisconnected(r.req, r.route)
-	a.Code = leftCallerCode(r.route, r.mayHaveRun || r.inFlight > 0)
-	return a
-}
-
-// leftCallerCode returns the result code of a request whose caller has left. A caller that only
-// closed its sending direction still reads the answer, and net/http reports it as having left:
-// CallerDisconnected would state that an at-most-once request did not run.
-func leftCallerCode(route *routing.Route, mayHaveRun bool) errcode.Code {
-	if mayHaveRun && route.Kind == routing.AtMostOnce {
-		return errcode.OutcomeUnknown
-	}
-	return errcode.CallerDisconnected
+	return r.singleRun.callerLeftAnswer()
 }
 
 // abandonedWhileWaiting returns Request.abandoned while an attempt waits, nil otherwise. Sending the
