node: register signals before anything else starts

Test: TestSignalDuringStartDoesNotEndTheProcess (settings from a pipe; a SIGHUP and a SIGTERM while they are read); before, the test process died of the hangup. The first milliseconds of a process, before main, remain; so does yoke serve, which does not handle SIGHUP at all.

--- a/pkg/cli/node.go
+++ b/pkg/cli/node.go
@@ -38,11 +38,12 @@
 		Use:   "node",
 		Short: "Serve callers of the users' platform (settings: $" + nodeFileEnv + ")",
 		RunE: func(_ *cobra.Command, _ []string) error {
+			signals := node.Signals()
 			n, err := node.New(nodeSettingsPath(path), platformAdapter())
 			if err != nil {
 				return err
 			}
-			n.Run()
+			n.Run(signals)
 			return nil
 		},
 	}
--- a/pkg/cli/node_test.go
+++ b/pkg/cli/node_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"regexp"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/spf13/cobra"
@@ -39,6 +40,29 @@
 	require.ErrorContains(t, err, "-5")
 }
 
+// Guards against a process that a SIGHUP ends while it starts.
+func TestSignalDuringStartDoesNotEndTheProcess(t *testing.T) {
+	settings := "name: n\nzone: z\nlisten: {callers: '127.0.0.1:0', readiness: '127.0.0.1:0'}\nstore: {address: '127.0.0.1:1'}\nstop: {leave_ms: 10, margin_ms: 10}\n"
+	path := filepath.Join(t.TempDir(), "node.yaml")
+	require.NoError(t, syscall.Mkfifo(path, 0o600))
+	ended := make(chan error, 1)
+	go func() {
+		_, err := execute(NodeCmd(), "", "--config", path)
+		ended <- err
+	}()
+	// The command has begun to read its settings when the pipe can be opened.
+	pipe, err := os.OpenFile(path, os.O_WRONLY, 0)
+	require.NoError(t, err)
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
+	require.NoError(t, os.Remove(path))
+	require.NoError(t, os.WriteFile(path, []byte(settings), 0o600)) // Read again by the reload.
+	_, err = pipe.WriteString(settings)
+	require.NoError(t, err)
+	require.NoError(t, pipe.Close())
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
+	require.NoError(t, <-ended)
+}
+
 func TestExplainReadsStandardInput(t *testing.T) {
 	log := `{"time":"2026-05-04T15:39:29.300Z","event":"partial_answer","instance":"a","request":"r1","covered":18}` + "\n"
 	out, err := execute(ExplainCmd(), log, "--request", "r1")
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -161,10 +161,16 @@
 	}
 }
 
-// Run serves until a stop signal and then shuts down gracefully.
-func (n *Node) Run() {
+// Signals returns the signals that Run handles. It is to be called before anything else: a signal
+// that arrives before ends the process.
+func Signals() <-chan os.Signal {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	return signals
+}
+
+// Run serves until a stop signal and then shuts down gracefully.
+func (n *Node) Run(signals <-chan os.Signal) {
 	n.Start()
 	n.waitForStop(signals)
 	n.Stop()
