peers: replace a connection that has gone silent without an error

Change: if the peer is late again a second or more after the first late answer, and not one frame has arrived since, the connection is closed and dialled anew: about 2 s after the first late answer while there is work. Calls fail over as before. Connections for batches were replaced before, because an avoided peer leaves the list of batchers and its unused connection is closed.

--- a/pkg/peers/clientconn.go
+++ b/pkg/peers/clientconn.go
@@ -43,6 +43,9 @@
 	// lastFrameAt is when the last frame arrived. A pointer to a time.Time keeps the monotonic
 	// clock reading, which changes of the wall clock do not affect.
 	lastFrameAt atomic.Pointer[time.Time]
+	// silentSince is when the peer first did not answer in time since the last frame; nil if it has
+	// answered since.
+	silentSince atomic.Pointer[time.Time]
 	// rtt is the round-trip time of queries.
 	rtt rttEstimator
 	// batchRTT is the moving average of the round-trip time of batches; 0 before the first.
@@ -176,6 +179,19 @@
 	}
 }
 
+// maxSilence is how long a connection may be silent, although answers are due, until it is replaced. It is
+// measured from the first answer that is late to a later one, so that a peer that was paused
+// briefly keeps its connection.
+const maxSilence = time.Second
+
+// isSilent records that the peer did not answer in time, and reports whether it has been silent for
+// maxSilence.
+func (c *clientConn) isSilent(now time.Time) bool {
+	c.silentSince.CompareAndSwap(nil, &now)
+	since := c.silentSince.Load()
+	return since != nil && now.Sub(*since) >= maxSilence
+}
+
 // failOpenCalls ends the open calls with PeerLost: they may have run.
 func (p *pendingBatch) failOpenCalls() {
 	p.timer.Stop()
@@ -209,6 +225,7 @@
 	}
 	now := time.Now()
 	c.lastFrameAt.Store(&now)
+	c.silentSince.Store(nil)
 	switch k {
 	case kindBatchReplies:
 		f, err := decode[batchReplies](raw)
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -293,13 +293,21 @@
 	p.log.Decision("peer_connected", oplog.Fields{"peer": m.Name, "peer_zone": m.Zone})
 }
 
-// handleTimeout avoids a peer that did not answer in time.
+// errSilentConn is reported for connections on which answers are due and nothing arrives.
+var errSilentConn = errors.New("connection is silent")
+
+// handleTimeout avoids a peer that did not answer in time, and replaces a connection that has gone silent
+// without an error. It is noticed when the peer is tried again after avoidDuration.
 func (p *Peers) handleTimeout(c *clientConn) {
 	p.PeerTimeouts.Add(1)
+	now := time.Now()
 	p.mu.Lock()
-	p.avoidUntil[c.peer.Name] = time.Now().Add(avoidDuration)
+	p.avoidUntil[c.peer.Name] = now.Add(avoidDuration)
 	p.mu.Unlock()
 	p.log.Decision("peer_silent", oplog.Fields{"peer": c.peer.Name, "peer_zone": c.peer.Zone, "avoided_ms": avoidDuration.Milliseconds()})
+	if c.isSilent(now) {
+		c.closeWithError(errSilentConn)
+	}
 }
 
 // handleConnClosed removes a closed connection and avoids its peer, unless the agent had already
