--- a/pkg/leafconn/pool.go
+++ b/pkg/leafconn/pool.go
@@ -171,14 +171,19 @@
 		return nil, err
 	}
 	p.Stats.OpenConns.Add(1)
-	in := &replyReader{Conn: raw, leaf: leaf, stats: &p.Stats, memory: p.memory, maxHeaderBytes: p.opts.MaxHeaderBytes}
-	c := &conn{Conn: raw, leaf: leaf, in: in, br: bufio.NewReaderSize(in, readBufferSize)}
+	c := p.newConn(leaf, raw)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.markBusy(c)
 	return c, nil
 }
 
+// newConn returns a connection to a leaf whose replies are read within the limits.
+func (p *Pool) newConn(leaf string, raw net.Conn) *conn {
+	in := &replyReader{Conn: raw, leaf: leaf, stats: &p.Stats, memory: p.memory, maxHeaderBytes: p.opts.MaxHeaderBytes}
+	return &conn{Conn: raw, leaf: leaf, in: in, br: bufio.NewReaderSize(in, readBufferSize)}
+}
+
 // put returns a connection to the pool after its reply was read completely.
 func (p *Pool) put(c *conn, now time.Time) {
 	keep := p.opts.IdleTimeout
--- a/pkg/peers/peers_test.go
+++ b/pkg/peers/peers_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"testing"
 	"time"
@@ -400,8 +401,8 @@
 	require.ErrorIs(t, err, errUnknownRef)
 }
 
-// FuzzFrames checks that decoding terminates for any input, and that replies to calls that are not
-// open are dropped.
+// FuzzFrames checks that decoding terminates for any input, that memory follows the size of the input, and
+// that replies to calls that are not open are dropped.
 func FuzzFrames(f *testing.F) {
 	var seeds [][]byte
 	for _, frame := range []struct {
@@ -421,7 +422,11 @@
 	}
 	mutate.AddSeeds(f, seeds...)
 	f.Fuzz(func(t *testing.T, raw []byte) {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
 		_, content, err := readFrame(bufio.NewReader(bytes.NewReader(raw)), maxFrameBytes)
+		runtime.ReadMemStats(&after)
+		require.LessOrEqual(t, after.TotalAlloc-before.TotalAlloc, uint64(1<<20+4*len(raw)))
 		if err != nil {
 			return
 		}
