peers: the share of second requests no longer ramps up

An instance that knows nothing of its predecessor holds second requests for a window, after which the ramp is over; one that knows needs none. The ramp, its start time and window are removed.

TestBurstShareRampsUpAfterStart (share grows from 0 over a window) is replaced by a stricter check in TestInstanceWithoutKnownPredecessorHoldsSecondRequests: no second request within the window at all, and TestRestartsDoNotGrantTheBudgetAgain still guards the sum.

--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -53,7 +53,7 @@
 	}
 	if set.Peers.Gather {
 		n.gateway.UseGatherers(agent)
-		burst := peers.BurstBudget{Total: set.Declared.SecondRequestBurst, Zones: set.Declared.Zones, Window: settings.Duration(set.Declared.SecondRequestWindowMs)}
+		burst := peers.BurstBudget{Total: set.Declared.SecondRequestBurst, Zones: set.Declared.Zones}
 		agent.EnableBurstSharing(burst, n.table.SetBurstLimits)
 		agent.EnableSingleHandoff(n.gateway.SetSingleRunners)
 	}
--- a/pkg/peers/budgetsuccession.go
+++ b/pkg/peers/budgetsuccession.go
@@ -31,14 +31,13 @@
 // EnableBudgetSuccession makes the agent report the second requests that table counts to other
 // instances, and learn from them what the previous process of this instance has sent. Until then
 // second requests are held, for one window at most. hasPredecessor is false if the deployment starts
-// for the first time. It must be called after EnableBurstSharing and before Run.
+// for the first time. It must be called before Run.
 func (p *Peers) EnableBudgetSuccession(table *replica.Table, window time.Duration, hasPredecessor bool) {
 	now := time.Now()
 	p.succession = &budgetSuccession{
 		table: table, started: now,
 		keeper: succession.NewKeeper(window), successor: succession.NewSuccessor(hasPredecessor, window, now),
 	}
-	p.burst.countsKnown = !hasPredecessor
 	if hasPredecessor {
 		table.HoldSecondRequests(now.Add(window))
 	}
--- a/pkg/peers/budgetsuccession_test.go
+++ b/pkg/peers/budgetsuccession_test.go
@@ -50,13 +50,17 @@
 	}
 }
 
-// Guards against an instance that takes silence, or an instance that knows nothing of its previous
-// process, for permission.
+// Guards against an instance that uses its share after a restart, although its previous process may
+// have used it in the same window: nobody knows what that process has sent.
 func TestInstanceWithoutKnownPredecessorHoldsSecondRequests(t *testing.T) {
+	before := time.Now()
 	stranger := newSuccessionAgent(t, "n2", false)
 	started := newSuccessionAgent(t, "n1", true, stranger)
 	for range 5 {
 		started.tickBudgetSuccession(time.Now())
 	}
+	table := started.succession.table
+	require.False(t, table.HasSecondRequestBudget("s", before.Add(10*time.Second-time.Millisecond)))
+	require.True(t, table.HasSecondRequestBudget("s", time.Now().Add(10*time.Second)))
 	require.Never(t, func() bool { return !started.succession.table.SecondRequestsHeld(time.Now()) }, 300*time.Millisecond, 10*time.Millisecond)
 }
--- a/pkg/peers/burst.go
+++ b/pkg/peers/burst.go
@@ -15,8 +15,6 @@
 	Total float64
 	// Zones are the availability zones of the deployment.
 	Zones []string
-	// Window is the length of the window to which Total applies.
-	Window time.Duration
 }
 
 // Division of the burst budget.
@@ -36,15 +34,11 @@
 
 // burstShare computes this instance's share of the burst budget.
 type burstShare struct {
-	budget  BurstBudget
-	started time.Time
+	budget BurstBudget
 	// maxGatherers and maxMembers are the largest recently observed numbers of gatherers and of
 	// members of the zone, and maxSeenAt when they were observed.
 	maxGatherers, maxMembers int
 	maxSeenAt                time.Time
-	// countsKnown means that this instance counts everything that it has sent in the window, also
-	// before its last start.
-	countsKnown bool
 }
 
 // zoneSize returns the largest recently observed numbers of members and gatherers.
@@ -56,7 +50,7 @@
 // hear of a member that is about to stop, which still uses its share.
 func (s *burstShare) inherit(zone succession.ZoneSize, now time.Time) {
 	s.maxMembers, s.maxGatherers = max(s.maxMembers, zone.Members), max(s.maxGatherers, zone.Gatherers)
-	s.maxSeenAt, s.countsKnown = now, true
+	s.maxSeenAt = now
 }
 
 // compute returns this instance's share of the budget, or zero if the budget is unknown.
@@ -86,7 +80,7 @@
 		s.maxSeenAt = now
 	}
 	zoneBudget := s.budget.Total / float64(max(len(s.budget.Zones), 1))
-	b := replica.BurstLimits{Single: s.rampUp(singleShare*zoneBudget/float64(s.maxMembers), now)}
+	b := replica.BurstLimits{Single: singleShare * zoneBudget / float64(s.maxMembers)}
 	isGatherer := len(r.gatherers) == 0 && 2*(r.localPeers+1) > s.maxMembers
 	switch {
 	case isGatherer:
@@ -94,16 +88,5 @@
 	case s.maxMembers > s.maxGatherers:
 		b.Shard = othersShare * zoneBudget / float64(s.maxMembers-s.maxGatherers)
 	}
-	b.Shard = s.rampUp(b.Shard, now)
 	return b
 }
-
-// rampUp limits the share of an instance that has just started and does not know what its previous
-// process has sent. If there was none, the others have used shares that were larger without it.
-func (s *burstShare) rampUp(burst float64, now time.Time) float64 {
-	age := float64(now.Sub(s.started)) / float64(max(s.budget.Window, 1))
-	if s.countsKnown || age >= 1 {
-		return burst
-	}
-	return age * burst
-}
--- a/pkg/peers/burst_test.go
+++ b/pkg/peers/burst_test.go
@@ -12,12 +12,9 @@
 
 var burstStart = time.Unix(5000, 0)
 
-// afterRampUp is long after the start.
-var afterRampUp = burstStart.Add(time.Hour)
-
 // newBudget returns a budget of 430 for some zones.
 func newBudget(zones ...string) BurstBudget {
-	return BurstBudget{Total: 430, Zones: zones, Window: 10 * time.Second}
+	return BurstBudget{Total: 430, Zones: zones}
 }
 
 // without returns a list of members without the one at index i.
@@ -29,8 +26,8 @@
 func sumShares(all []membership.Member, budget BurstBudget) (total, greatest replica.BurstLimits) {
 	for i, self := range all {
 		others := without(all, i)
-		s := &burstShare{budget: budget, started: burstStart}
-		b := s.compute(assignRoles(self, others, neverAvoided), others, self.Zone, afterRampUp)
+		s := &burstShare{budget: budget}
+		b := s.compute(assignRoles(self, others, neverAvoided), others, self.Zone, burstStart)
 		total.Shard += b.Shard
 		total.Single += b.Single
 		greatest.Shard = max(greatest.Shard, b.Shard)
@@ -74,9 +71,9 @@
 	budget := newBudget("z")
 	total := 0.0
 	for i, self := range all {
-		s := &burstShare{budget: budget, started: burstStart}
+		s := &burstShare{budget: budget}
 		others := without(all, i)
-		s.compute(assignRoles(self, others, neverAvoided), others, "z", afterRampUp)
+		s.compute(assignRoles(self, others, neverAvoided), others, "z", burstStart)
 		// There are 4 parts: members whose index has the same remainder see each other.
 		part := make([]membership.Member, 0, len(others))
 		for _, m := range others {
@@ -85,7 +82,7 @@
 			}
 			part = append(part, m)
 		}
-		total += s.compute(assignRoles(self, part, neverAvoided), part, "z", afterRampUp.Add(20*time.Second)).Shard
+		total += s.compute(assignRoles(self, part, neverAvoided), part, "z", burstStart.Add(20*time.Second)).Shard
 	}
 	require.LessOrEqual(t, total, budget.Total)
 }
@@ -93,37 +90,24 @@
 // A zone that has shrunk permanently divides its budget among the remaining members.
 func TestBurstShareGrowsAfterMembersLeave(t *testing.T) {
 	all := newMembers("z", 40, 40, 40, 40, 40, 40, 40, 40)
-	s := &burstShare{budget: newBudget("z"), started: burstStart}
+	s := &burstShare{budget: newBudget("z")}
 	at := func(others []membership.Member, now time.Time) float64 {
 		return s.compute(assignRoles(all[0], others, neverAvoided), others, "z", now).Single
 	}
-	before := at(all[1:], afterRampUp)
-	require.InDelta(t, before, at(all[1:3], afterRampUp.Add(countRetention)), 0.01)
-	require.Greater(t, at(all[1:3], afterRampUp.Add(countRetention+2*time.Second)), 2*before)
-}
-
-// Guards against an instance that uses its full share after a restart, although its previous
-// process may have used it in the same window.
-func TestBurstShareRampsUpAfterStart(t *testing.T) {
-	all := newMembers("z", 40, 40)
-	s := &burstShare{budget: newBudget("z"), started: burstStart}
-	at := func(after time.Duration) float64 {
-		return s.compute(assignRoles(all[0], all[1:], neverAvoided), all[1:], "z", burstStart.Add(after)).Shard
-	}
-	require.Zero(t, at(0))
-	require.Less(t, at(2*time.Second), 0.25*at(10*time.Second))
-	require.InDelta(t, gatherersShare*430/2, at(10*time.Second), 0.01)
+	before := at(all[1:], burstStart)
+	require.InDelta(t, before, at(all[1:3], burstStart.Add(countRetention)), 0.01)
+	require.Greater(t, at(all[1:3], burstStart.Add(countRetention+2*time.Second)), 2*before)
 }
 
 // Guards against a restarted instance that takes itself for the only one of its zone. It does not hear
 // of a member that is about to stop, and used the share of the whole zone beside that member.
 func TestRestartedInstanceKeepsTheSizeOfItsZone(t *testing.T) {
 	all := newMembers("z", 40, 40)
-	before := &burstShare{budget: newBudget("z"), started: burstStart, countsKnown: true}
-	share := before.compute(assignRoles(all[0], all[1:], neverAvoided), all[1:], "z", afterRampUp)
-	after := &burstShare{budget: newBudget("z"), started: afterRampUp}
-	after.inherit(before.zoneSize(), afterRampUp)
-	alone := after.compute(assignRoles(all[0], nil, neverAvoided), nil, "z", afterRampUp)
+	before := &burstShare{budget: newBudget("z")}
+	share := before.compute(assignRoles(all[0], all[1:], neverAvoided), all[1:], "z", burstStart)
+	after := &burstShare{budget: newBudget("z")}
+	after.inherit(before.zoneSize(), burstStart)
+	alone := after.compute(assignRoles(all[0], nil, neverAvoided), nil, "z", burstStart)
 	require.Equal(t, share.Single, alone.Single)
 	require.LessOrEqual(t, alone.Shard, share.Shard)
 }
@@ -131,5 +115,5 @@
 // Without a published budget no share is computed.
 func TestUnknownBudgetGivesNoShare(t *testing.T) {
 	s := &burstShare{}
-	require.Zero(t, s.compute(roles{}, nil, "z", afterRampUp))
+	require.Zero(t, s.compute(roles{}, nil, "z", burstStart))
 }
--- a/pkg/peers/peers.go
+++ b/pkg/peers/peers.go
@@ -113,7 +113,7 @@
 // EnableBurstSharing makes the agent compute this instance's share of the burst budget on each
 // tick and pass it to apply. It must be called before Run.
 func (p *Peers) EnableBurstSharing(budget BurstBudget, apply func(replica.BurstLimits)) {
-	p.burst = burstShare{budget: budget, started: time.Now()}
+	p.burst = burstShare{budget: budget}
 	p.setBursts = apply
 }
 
--- a/pkg/peers/restartsim_test.go
+++ b/pkg/peers/restartsim_test.go
@@ -66,10 +66,7 @@
 	i.down, i.stopping, i.processID = time.Time{}, false, s.rng.Uint64()
 	i.table = replica.NewTable(replica.Options{Budget: replica.BudgetOptions{Ratio: simRatio, Window: simWindow, Burst: 2}})
 	i.table.SetShards(map[string]bool{s.service: s.shard})
-	i.burst = burstShare{
-		budget:  BurstBudget{Total: simBurst, Zones: []string{"a", "b", "c", "d"}, Window: simWindow},
-		started: s.now, countsKnown: !hasPredecessor,
-	}
+	i.burst = burstShare{budget: BurstBudget{Total: simBurst, Zones: []string{"a", "b", "c", "d"}}}
 	i.reporter = succession.Reporter{}
 	i.keeper = succession.NewKeeper(simWindow)
 	i.successor = succession.NewSuccessor(hasPredecessor, simWindow, s.now)
@@ -89,7 +86,7 @@
 	i.down = s.now.Add(simRestartTime)
 }
 
-// others returns the running members that an instance knows, and those that it has known.
+// others returns the members that an instance may give work to.
 func (s *restartSim) others(i *simInstance) (usable []membership.Member) {
 	for _, o := range s.instances {
 		if o != i && o.down.IsZero() && !o.stopping {
