--- a/pkg/peers/clientconn.go
+++ b/pkg/peers/clientconn.go
@@ -179,19 +179,6 @@
 	}
 }
 
-// maxSilence is how long a connection may be silent, although answers are due, until it is replaced. It is
-// measured from the first answer that is late to a later one, so that a peer that was paused
-// briefly keeps its connection.
-const maxSilence = time.Second
-
-// isSilent records that the peer did not answer in time, and reports whether it has been silent for
-// maxSilence.
-func (c *clientConn) isSilent(now time.Time) bool {
-	c.silentSince.CompareAndSwap(nil, &now)
-	since := c.silentSince.Load()
-	return since != nil && now.Sub(*since) >= maxSilence
-}
-
 // failOpenCalls ends the open calls with PeerLost: they may have run.
 func (p *pendingBatch) failOpenCalls() {
 	p.timer.Stop()
