--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -24,6 +24,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
 	"stalled": runStalled,
 	"limits":  runLimits,
+	"restart": runRestart,
 }
 
 // siteZones are the availability zones of the site lv-indigo.
