--- a/review/standin-2/fleet.go
+++ b/review/standin-2/fleet.go
@@ -105,23 +105,43 @@
 	return n
 }
 
+// addInstances starts the site's instances, in turn in each of its zones, and waits until they are
+// ready.
+func (f *fleet) addInstances() error {
+	for n := range siteMachines {
+		if err := f.addInstance(siteZones[n%len(siteZones)]); err != nil {
+			return err
+		}
+	}
+	if !f.waitReady(20 * time.Second) {
+		return errNotReady
+	}
+	for _, i := range f.nodes {
+		// Only the first start of the whole system is a bootstrap.
+		if err := f.writeSettings(i, siteZones, false); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // addInstance writes the settings of an instance as deploy/node.yaml.tmpl gives them on the small
 // deployments, and starts it.
-func (f *fleet) addInstance(zone string, zones []string, firstStart bool) (*instance, error) {
+func (f *fleet) addInstance(zone string) error {
 	n := len(f.nodes) + 1
 	i := &instance{name: fmt.Sprintf("front-%s-%d", zone, n), zone: zone, ip: f.net + fmt.Sprint(n)}
 	i.settings = filepath.Join(f.dir, i.name+".yaml")
 	f.nodes = append(f.nodes, i)
-	if err := f.writeSettings(i, zones, firstStart); err != nil {
-		return nil, err
+	if err := f.writeSettings(i, siteZones, true); err != nil {
+		return err
 	}
-	return i, f.start(i)
+	return f.start(i)
 }
 
 func (f *fleet) writeSettings(i *instance, zones []string, firstStart bool) error {
 	var regions, quoted []string
 	for _, z := range zones {
-		regions = append(regions, fmt.Sprintf("%q: \"ljubljana\"", z))
+		regions = append(regions, fmt.Sprintf("%q: \"great-lakes\"", z))
 		quoted = append(quoted, fmt.Sprintf("%q", z))
 	}
 	text := fmt.Sprintf(`name: %q
@@ -146,7 +166,7 @@
   drain_ms: 3000
   second_ratio: 0.2
   second_window_ms: 10000
-  second_slack: 56
+  second_slack: 52
   regions: { %s }
   zones: [%s]
 `, i.name, i.zone, i.ip, callersPort, i.ip, readinessPort, i.ip, controlPort, i.ip, metricsPort, i.ip, peersPort,
--- a/review/standin-2/leaf.go
+++ b/review/standin-2/leaf.go
@@ -21,6 +21,7 @@
 	places                  chan struct{}
 	stamps                  atomic.Int64
 	sequence                atomic.Int64
+	server                  *http.Server
 
 	mu   sync.Mutex
 	runs map[string]int
@@ -35,10 +36,19 @@
 		id: id, service: service, zone: zone, addr: ln.Addr().String(), slots: slots, work: work, body: body, rec: rec,
 		places: make(chan struct{}, slots), runs: map[string]int{},
 	}
-	go func() { _ = http.Serve(ln, http.HandlerFunc(l.serve)) }()
+	l.server = &http.Server{Handler: http.HandlerFunc(l.serve)}
+	go func() { _ = l.server.Serve(ln) }()
 	return l, nil
 }
 
+// crash ends the leaf while it runs a request: its listener and all of its connections are closed.
+func (l *leaf) crash() {
+	for len(l.places) == 0 {
+		time.Sleep(100 * time.Microsecond)
+	}
+	_ = l.server.Close()
+}
+
 // entry returns the leaf's entry in the store.
 func (l *leaf) entry(state string) map[string]any {
 	return map[string]any{
--- a/review/standin-2/limits.go
+++ b/review/standin-2/limits.go
@@ -17,10 +17,10 @@
 	return map[string]any{
 		"version": version,
 		"routes": []any{map[string]any{
-			"name": "fetch", "host": "a.example", "prefix": "/fetch/", "type": "safe", "backend": "archive",
-			"timeoutMs": 15000, "targetLatencyMs": 800, "priority": 2, "maxAttempts": 2,
+			"name": "fetch", "host": "a.example", "prefix": "/fetch/", "type": "safe", "backend": "console",
+			"timeoutMs": 10000, "targetLatencyMs": 600, "priority": 2, "maxAttempts": 2,
 		}},
-		"backends": []any{map[string]any{"name": "archive", "healthPath": "/health", "maxConnections": 110}},
+		"backends": []any{map[string]any{"name": "console", "healthPath": "/health", "maxConnections": 42}},
 		"limits":   map[string]any{"maxHeaderBytes": headerBytes, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	}
 }
@@ -28,7 +28,7 @@
 // runLimits keeps connections open across a configuration that raises maxHeaderBytes. Later than
 // configApplyMs after it, each client sends a request whose header needs the new limit.
 func runLimits(f *fleet, trouble bool) (broken bool, err error) {
-	if err := f.addLeafs("archive", 4, 4, 5*time.Millisecond, make([]byte, 3000), siteZones...); err != nil {
+	if err := f.addLeafs("console", 7, 4, 5*time.Millisecond, make([]byte, 3000), siteZones...); err != nil {
 		return false, err
 	}
 	first := 16384
@@ -36,15 +36,8 @@
 		first = 32768
 	}
 	f.store.put("op/config", limitsConfig(7, first))
-	for _, z := range siteZones {
-		for range 2 {
-			if _, err := f.addInstance(z, siteZones, true); err != nil {
-				return false, err
-			}
-		}
-	}
-	if !f.waitReady(20 * time.Second) {
-		return false, errNotReady
+	if err := f.addInstances(); err != nil {
+		return false, err
 	}
 	time.Sleep(2 * time.Second)
 	var clients []*client
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -22,13 +22,18 @@
 var errNotReady = errors.New("the instances are not ready in time")
 
 var cases = map[string]func(f *fleet, trouble bool) (bool, error){
-	"stalled": runStalled,
-	"limits":  runLimits,
-	"restart": runRestart,
+	"stalled":    runStalled,
+	"limits":     runLimits,
+	"restart":    runRestart,
+	"shard":      runShard,
+	"lost-shard": runLostShard,
 }
 
-// siteZones are the availability zones of the site lv-indigo.
-var siteZones = []string{"lj-a", "lj-b", "lj-c"}
+// siteZones are the availability zones of the site bedfinder-glk, siteMachines the number of its
+// entry instances.
+var siteZones = []string{"detroit-hall", "cleveland-hall", "chicago-hall", "milwaukee-hall"}
+
+const siteMachines = 6
 
 func clientName(n int) string { return fmt.Sprintf("c%03d", n) }
 
--- a/review/standin-2/restart.go
+++ b/review/standin-2/restart.go
@@ -28,24 +28,12 @@
 // runRestart kills an instance. Its clients connect again as soon as it listens, and keep their
 // connections. Later each of them sends a request whose header needs the published limit of 32 KiB.
 func runRestart(f *fleet, trouble bool) (broken bool, err error) {
-	if err := f.addLeafs("archive", 4, 4, 5*time.Millisecond, make([]byte, 3000), siteZones...); err != nil {
+	if err := f.addLeafs("console", 7, 4, 5*time.Millisecond, make([]byte, 3000), siteZones...); err != nil {
 		return false, err
 	}
 	f.store.put("op/config", limitsConfig(7, 32768))
-	for _, z := range siteZones {
-		for range 2 {
-			if _, err := f.addInstance(z, siteZones, true); err != nil {
-				return false, err
-			}
-		}
-	}
-	if !f.waitReady(20 * time.Second) {
-		return false, errNotReady
-	}
-	for _, i := range f.nodes {
-		if err := f.writeSettings(i, siteZones, false); err != nil {
-			return false, err
-		}
+	if err := f.addInstances(); err != nil {
+		return false, err
 	}
 	time.Sleep(5 * time.Second)
 	killed := f.nodes[0]
--- a/review/standin-2/stalled.go
+++ b/review/standin-2/stalled.go
@@ -11,32 +11,27 @@
 	stalledClients = 30
 	stalledBytes   = 1 << 20
 	stalledPause   = 4 * time.Second
-	stalledTimeout = 15 * time.Second
+	stalledTimeout = 10 * time.Second
 	stalledBuffer  = 64 << 10
 )
 
 // runStalled sends two requests on each of some kept connections. The first answer is read at once.
 // With trouble, the clients read nothing for stalledPause in the middle of the second one.
 func runStalled(f *fleet, trouble bool) (broken bool, err error) {
-	if err := f.addLeafs("archive", 4, 4, 50*time.Millisecond, make([]byte, stalledBytes), siteZones...); err != nil {
+	if err := f.addLeafs("console", 7, 4, 50*time.Millisecond, make([]byte, stalledBytes), siteZones...); err != nil {
 		return false, err
 	}
 	f.store.put("op/config", map[string]any{
 		"version": 7,
 		"routes": []any{map[string]any{
-			"name": "fetch", "host": "a.example", "prefix": "/fetch/", "type": "safe", "backend": "archive",
-			"timeoutMs": 15000, "targetLatencyMs": 800, "priority": 2, "maxAttempts": 2,
+			"name": "fetch", "host": "a.example", "prefix": "/fetch/", "type": "safe", "backend": "console",
+			"timeoutMs": 10000, "targetLatencyMs": 600, "priority": 2, "maxAttempts": 2,
 		}},
-		"backends": []any{map[string]any{"name": "archive", "healthPath": "/health", "maxConnections": 110}},
+		"backends": []any{map[string]any{"name": "console", "healthPath": "/health", "maxConnections": 42}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 	})
-	for _, z := range siteZones {
-		if _, err := f.addInstance(z, siteZones, true); err != nil {
-			return false, err
-		}
-	}
-	if !f.waitReady(20 * time.Second) {
-		return false, errNotReady
+	if err := f.addInstances(); err != nil {
+		return false, err
 	}
 	time.Sleep(2 * time.Second)
 	var mu sync.Mutex
